--- /dev/null
+++ b/Makefile
@@ -0,0 +1,49 @@
+# cuminscale: every target works on a fresh Debian 12 machine; `deps` installs what is missing.
+
+BUILD ?= build
+SEEDS ?= 1000
+JOBS ?= 6
+PACKAGES = g++ cmake ninja-build clang-format-14 clang-tidy-14 python3 \
+	libboost1.81-all-dev libboost-json1.81-dev libzmq3-dev cppzmq-dev libprotobuf-dev protobuf-compiler \
+	libgflags-dev catch2 librapidcheck-dev libssl-dev libxxhash-dev spin gcc
+
+.PHONY: all deps build demo test bench model soak faults lint format clean
+
+all: build
+
+deps:
+	@missing=$$(dpkg-query -W -f='$${Package} $${Status}\n' $(PACKAGES) 2>/dev/null | grep -c 'install ok installed'); \
+	if [ "$$missing" -ne $(words $(PACKAGES)) ]; then \
+		apt-get update -qq && DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $(PACKAGES) >/dev/null; \
+	fi
+
+build: deps
+	@cmake -S . -B $(BUILD) -G Ninja >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS) | tail -n 1
+
+demo: build
+	python3 tools/demo.py
+
+test: build
+	python3 tools/run_tests.py --build $(BUILD)
+
+bench: build
+	python3 benchmark/bench.py
+
+model: deps
+	python3 spec/check.py
+
+soak: build
+	$(BUILD)/tests/protocol_tests --soak $(SEEDS)
+
+faults: build
+	python3 tools/faults.py
+
+lint: build
+	python3 tools/run_tests.py --build $(BUILD) --only lint
+
+format:
+	clang-format -i $$(git ls-files '*.cpp' '*.h' | grep -v '\.pb\.h$$')
+
+clean:
+	rm -rf $(BUILD)
--- /dev/null
+++ b/src/adapters/announcement.cpp
@@ -0,0 +1,62 @@
+#include "adapters/announcement.h"
+
+#include "core/json_reader.h"
+
+#include <boost/leaf/handle_errors.hpp>
+
+namespace cuminscale
+{
+
+namespace leaf = boost::leaf;
+
+namespace
+{
+
+constexpr std::uint64_t MaxSlots = 4096;
+constexpr std::uint64_t DefaultTtlMs = 1500;
+/// A backend server that stops renewing gets no new work after this at the latest.
+constexpr std::uint64_t MaxTtlMs = 3000;
+constexpr std::uint64_t MinTtlMs = 100;
+
+leaf::result<event::BackendAnnounced> read(const std::string &body)
+{
+    event::BackendAnnounced announced;
+    BOOST_LEAF_AUTO(value, parseJson(body));
+    BOOST_LEAF_AUTO(object, JsonObject::from(value, ""));
+    BOOST_LEAF_CHECK(object.allow({"service", "address", "slots", "connections", "ttl_ms", "leaving"}));
+    BOOST_LEAF_ASSIGN(announced.service, object.requiredText("service"));
+    BOOST_LEAF_AUTO(address, object.requiredText("address"));
+    const std::optional<Endpoint> endpoint = parseEndpoint(address);
+    if (!endpoint || endpoint->port == 0) {
+        return object.fail("address", "has to be an IPv4 address and port");
+    }
+    announced.endpoint = *endpoint;
+    BOOST_LEAF_AUTO(slots, object.number("slots", 1, 1, MaxSlots));
+    BOOST_LEAF_AUTO(connections, object.number("connections", slots, 1, MaxSlots));
+    BOOST_LEAF_AUTO(ttl, object.number("ttl_ms", DefaultTtlMs, MinTtlMs, MaxTtlMs));
+    BOOST_LEAF_ASSIGN(announced.leaving, object.flag("leaving", false));
+    announced.slots = static_cast<std::uint32_t>(slots);
+    announced.connections = static_cast<std::uint32_t>(connections);
+    announced.validFor = milliseconds(ttl);
+    return announced;
+}
+
+} // namespace
+
+std::variant<event::BackendAnnounced, ApiError> parseAnnouncement(const std::string &body)
+{
+    using Parsed = std::variant<event::BackendAnnounced, ApiError>;
+    return leaf::try_handle_all(
+        [&body]() -> leaf::result<Parsed> {
+            BOOST_LEAF_AUTO(announced, read(body));
+            return Parsed(std::move(announced));
+        },
+        [](const JsonError &error) -> Parsed {
+            return ApiError{400, error.path + ": " + error.reason + "."};
+        },
+        []() -> Parsed {
+            return ApiError{400, "The announcement can't be read."};
+        });
+}
+
+} // namespace cuminscale
--- /dev/null
+++ b/src/adapters/asio_waker.h
@@ -0,0 +1,31 @@
+/// Wakes a thread that runs an io_context.
+#pragma once
+
+#include "adapters/ring.h"
+
+#include <atomic>
+#include <functional>
+
+namespace boost::asio
+{
+class io_context;
+}
+
+namespace cuminscale
+{
+
+/// Runs a handler on the thread of an io_context, at most once for any number of wake-ups that come before it runs.
+class AsioWaker : public Waker
+{
+public:
+    AsioWaker(boost::asio::io_context &context, std::function<void()> handler);
+
+    void wake() override;
+
+private:
+    boost::asio::io_context &m_context;
+    std::function<void()> m_handler;
+    std::atomic<bool> m_scheduled = false;
+};
+
+} // namespace cuminscale
--- /dev/null
+++ b/src/adapters/etcd_messages.cpp
@@ -0,0 +1,204 @@
+#include "adapters/etcd_messages.h"
+
+#include "adapters/base64.h"
+
+#include <boost/json.hpp>
+
+#include <charconv>
+
+namespace cuminscale::etcd
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+/// The first key after all keys with the prefix.
+std::string endOf(std::string_view prefix)
+{
+    std::string end(prefix);
+    end.back() = static_cast<char>(end.back() + 1);
+    return end;
+}
+
+/// The JSON form carries 64-bit numbers as text; some servers send small ones as numbers.
+std::int64_t toNumber(const json::value *value)
+{
+    if (value == nullptr) {
+        return 0;
+    }
+    if (value->is_int64()) {
+        return value->get_int64();
+    }
+    std::int64_t n = 0;
+    if (value->is_string()) {
+        const json::string &text = value->get_string();
+        std::from_chars(text.data(), text.data() + text.size(), n);
+    }
+    return n;
+}
+
+std::string toText(const json::value *value)
+{
+    if (value == nullptr || !value->is_string()) {
+        return value != nullptr && value->is_int64() ? std::to_string(value->get_int64()) : std::string();
+    }
+    return std::string(value->get_string());
+}
+
+bool readKeyValue(const json::value &value, bool deleted, std::vector<KeyValue> &out)
+{
+    if (!value.is_object()) {
+        return false;
+    }
+    const json::object &object = value.get_object();
+    const std::optional<std::string> key = decodeBase64(toText(object.if_contains("key")));
+    const std::optional<std::string> text = decodeBase64(toText(object.if_contains("value")));
+    if (!key || !text) {
+        return false;
+    }
+    out.push_back(KeyValue{*key, *text, toNumber(object.if_contains("mod_revision")), deleted});
+    return true;
+}
+
+bool readEvents(const json::value *events, std::vector<KeyValue> &out)
+{
+    if (events == nullptr) {
+        return true;
+    }
+    if (!events->is_array()) {
+        return false;
+    }
+    for (const json::value &event : events->get_array()) {
+        if (!event.is_object() || !event.get_object().contains("kv")) {
+            return false;
+        }
+        const bool deleted = toText(event.get_object().if_contains("type")) == "DELETE";
+        if (!readKeyValue(event.get_object().at("kv"), deleted, out)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace
+
+std::string rangePrefix(std::string_view prefix)
+{
+    return json::serialize(json::object{{"key", encodeBase64(prefix)}, {"range_end", encodeBase64(endOf(prefix))}});
+}
+
+std::string rangeKey(std::string_view key)
+{
+    return json::serialize(json::object{{"key", encodeBase64(key)}});
+}
+
+std::string watchPrefix(std::string_view prefix, std::int64_t from)
+{
+    const json::object create{
+        {"key", encodeBase64(prefix)}, {"range_end", encodeBase64(endOf(prefix))}, {"start_revision", std::to_string(from)}};
+    return json::serialize(json::object{{"create_request", create}});
+}
+
+std::string putIfAt(std::string_view key, std::string_view value, std::int64_t modRevision)
+{
+    const std::string name = encodeBase64(key);
+    const json::object compare{
+        {"key", name}, {"target", "MOD"}, {"result", "EQUAL"}, {"mod_revision", std::to_string(modRevision)}};
+    const json::object put{{"request_put", json::object{{"key", name}, {"value", encodeBase64(value)}}}};
+    return json::serialize(json::object{{"compare", json::array{compare}}, {"success", json::array{put}}});
+}
+
+std::string putUnderLease(std::string_view key, std::string_view value, std::string_view lease)
+{
+    return json::serialize(json::object{
+        {"key", encodeBase64(key)}, {"value", encodeBase64(value)}, {"lease", json::string_view(lease.data(), lease.size())}});
+}
+
+std::string grantLease(std::int64_t seconds)
+{
+    return json::serialize(json::object{{"TTL", std::to_string(seconds)}});
+}
+
+std::string nameLease(std::string_view lease)
+{
+    return json::serialize(json::object{{"ID", json::string_view(lease.data(), lease.size())}});
+}
+
+std::optional<Answer> readAnswer(std::string_view text)
+{
+    json::error_code ec;
+    const json::value value = json::parse(json::string_view(text.data(), text.size()), ec);
+    if (ec || !value.is_object()) {
+        return std::nullopt;
+    }
+    const json::object *object = &value.get_object();
+    if (const json::value *result = object->if_contains("result"); result != nullptr && result->is_object()) {
+        object = &result->get_object();
+    }
+    if (object->contains("error")) {
+        return std::nullopt;
+    }
+    Answer answer;
+    if (const json::value *header = object->if_contains("header"); header != nullptr && header->is_object()) {
+        answer.revision = toNumber(header->get_object().if_contains("revision"));
+    }
+    if (const json::value *kvs = object->if_contains("kvs"); kvs != nullptr) {
+        if (!kvs->is_array()) {
+            return std::nullopt;
+        }
+        for (const json::value &kv : kvs->get_array()) {
+            if (!readKeyValue(kv, false, answer.kvs)) {
+                return std::nullopt;
+            }
+        }
+    }
+    if (!readEvents(object->if_contains("events"), answer.kvs)) {
+        return std::nullopt;
+    }
+    if (const json::value *succeeded = object->if_contains("succeeded"); succeeded != nullptr && succeeded->is_bool()) {
+        answer.succeeded = succeeded->get_bool();
+    }
+    answer.lease = toText(object->if_contains("ID"));
+    answer.ttl = toText(object->if_contains("TTL"));
+    return answer;
+}
+
+std::string renderConfig(const ConfigVersion &version)
+{
+    json::array recent;
+    for (const std::string &change : version.recentChanges) {
+        recent.emplace_back(change);
+    }
+    return json::serialize(json::object{{"revision", version.revision.value()},
+                                        {"change_id", version.changeId},
+                                        {"recent_changes", std::move(recent)},
+                                        {"document", version.document}});
+}
+
+std::optional<ConfigVersion> readConfig(std::string_view value)
+{
+    json::error_code ec;
+    const json::value parsed = json::parse(json::string_view(value.data(), value.size()), ec);
+    if (ec || !parsed.is_object()) {
+        return std::nullopt;
+    }
+    const json::object &object = parsed.get_object();
+    const std::int64_t revision = toNumber(object.if_contains("revision"));
+    if (revision <= 0) {
+        return std::nullopt;
+    }
+    ConfigVersion version{Revision(static_cast<std::uint64_t>(revision)),
+                          toText(object.if_contains("change_id")),
+                          toText(object.if_contains("document")),
+                          {}};
+    if (const json::value *recent = object.if_contains("recent_changes"); recent != nullptr && recent->is_array()) {
+        for (const json::value &change : recent->get_array()) {
+            version.recentChanges.push_back(toText(&change));
+        }
+    }
+    return version;
+}
+
+} // namespace cuminscale::etcd
--- /dev/null
+++ b/src/adapters/http_server.cpp
@@ -0,0 +1,308 @@
+#include "adapters/http_server.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <set>
+
+namespace cuminscale
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace
+{
+
+std::string findHeader(const std::vector<HttpHeader> &headers, std::string_view name)
+{
+    for (const HttpHeader &header : headers) {
+        if (beast::iequals(beast::string_view(header.first), beast::string_view(name.data(), name.size()))) {
+            return header.second;
+        }
+    }
+    return std::string();
+}
+
+class Session;
+
+/// What the sessions of one server share.
+struct Shared
+{
+    HttpLimits limits;
+    HttpServer::Handler handler;
+    std::set<std::shared_ptr<Session>> sessions;
+    bool draining = false;
+    bool closed = false;
+};
+
+/// One connection: reads a request, waits for its answer, writes it, and begins again.
+class Session : public std::enable_shared_from_this<Session>
+{
+public:
+    Session(tcp::socket socket, std::shared_ptr<Shared> shared)
+        : m_stream(std::move(socket))
+        , m_shared(std::move(shared))
+    { }
+
+    void read();
+    void respond(std::uint64_t exchange, HttpResponse response);
+    void close();
+
+    /// Closes a connection that waits for its next request.
+    void closeIfIdle()
+    {
+        if (m_idle) {
+            close();
+        }
+    }
+
+private:
+    class Exchange;
+
+    void onRead(beast::error_code ec);
+    void watchForHangUp(std::uint64_t exchange);
+    void refuse(unsigned status, const std::string &reason);
+
+    beast::tcp_stream m_stream;
+    std::shared_ptr<Shared> m_shared;
+    beast::flat_buffer m_buf;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    http::response<http::string_body> m_response;
+    std::weak_ptr<HttpExchange> m_exchange;
+    std::uint64_t m_exchangeNumber = 0;
+    bool m_keepAlive = false;
+    bool m_answered = true;
+    bool m_idle = true;
+};
+
+class Session::Exchange : public HttpExchange
+{
+public:
+    Exchange(std::shared_ptr<Session> session, std::uint64_t number)
+        : m_session(std::move(session))
+        , m_number(number)
+    { }
+
+    void respond(HttpResponse response) override
+    {
+        m_session->respond(m_number, std::move(response));
+    }
+
+private:
+    std::shared_ptr<Session> m_session;
+    std::uint64_t m_number;
+};
+
+void Session::read()
+{
+    m_idle = true;
+    m_parser.emplace();
+    m_parser->body_limit(m_shared->limits.maxBodyBytes);
+    m_parser->header_limit(static_cast<std::uint32_t>(m_shared->limits.maxHeaderBytes));
+    m_stream.expires_after(m_shared->limits.idleTimeout);
+    http::async_read(m_stream, m_buf, *m_parser,
+                     [self = shared_from_this()](beast::error_code ec, std::size_t) { self->onRead(ec); });
+}
+
+void Session::onRead(beast::error_code ec)
+{
+    if (ec == http::error::body_limit || ec == http::error::header_limit) {
+        refuse(413, "The request is larger than this entry takes.");
+        return;
+    }
+    if (ec == http::error::end_of_stream || ec == beast::error::timeout || (ec && !m_parser->got_some())) {
+        close();
+        return;
+    }
+    if (ec) {
+        refuse(400, "The request is not valid HTTP.");
+        return;
+    }
+    m_idle = false;
+    m_answered = false;
+    m_stream.expires_never();
+    http::request<http::string_body> message = m_parser->release();
+    m_keepAlive = message.keep_alive();
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.body = std::move(message.body());
+    for (const http::fields::value_type &field : message.base()) {
+        request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    }
+    const std::uint64_t number = ++m_exchangeNumber;
+    std::shared_ptr<HttpExchange> exchange = std::make_shared<Exchange>(shared_from_this(), number);
+    m_exchange = exchange;
+    watchForHangUp(number);
+    m_shared->handler(std::move(request), exchange);
+}
+
+void Session::watchForHangUp(std::uint64_t exchange)
+{
+    m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this(), exchange](beast::error_code ec) {
+        if (ec || self->m_answered || exchange != self->m_exchangeNumber) {
+            return;
+        }
+        beast::error_code availableError;
+        const std::size_t available = self->m_stream.socket().available(availableError);
+        if (!availableError && available > 0) {
+            return;
+        }
+        self->m_answered = true;
+        if (const std::shared_ptr<HttpExchange> waiting = self->m_exchange.lock(); waiting && waiting->onGone) {
+            waiting->onGone();
+        }
+        self->close();
+    });
+}
+
+void Session::refuse(unsigned status, const std::string &reason)
+{
+    m_idle = false;
+    m_answered = false;
+    m_keepAlive = false;
+    HttpResponse response;
+    response.status = status;
+    response.body = "{\"error\":\"" + reason + "\"}\n";
+    response.headers.emplace_back("Cuminscale-Outcome", "not-run");
+    respond(m_exchangeNumber, std::move(response));
+}
+
+void Session::respond(std::uint64_t exchange, HttpResponse response)
+{
+    if (m_answered || exchange != m_exchangeNumber) {
+        return;
+    }
+    m_answered = true;
+    m_response = {};
+    m_response.version(11);
+    m_response.result(response.status);
+    m_response.set(http::field::content_type, response.contentType);
+    for (const HttpHeader &header : response.headers) {
+        m_response.set(header.first, header.second);
+    }
+    m_response.keep_alive(m_keepAlive && !m_shared->draining);
+    m_response.body() = std::move(response.body);
+    m_response.prepare_payload();
+    m_stream.expires_after(m_shared->limits.writeTimeout);
+    http::async_write(m_stream, m_response, [self = shared_from_this()](beast::error_code ec, std::size_t) {
+        if (ec || !self->m_response.keep_alive()) {
+            self->close();
+            return;
+        }
+        self->read();
+    });
+}
+
+void Session::close()
+{
+    beast::error_code ec;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+    m_stream.close();
+    m_shared->sessions.erase(shared_from_this());
+}
+
+} // namespace
+
+std::string HttpRequest::header(std::string_view name) const
+{
+    return findHeader(headers, name);
+}
+
+std::string HttpResponse::header(std::string_view name) const
+{
+    return findHeader(headers, name);
+}
+
+class HttpServer::Impl : public std::enable_shared_from_this<HttpServer::Impl>
+{
+public:
+    Impl(asio::io_context &context, const Endpoint &listen, const HttpLimits &limits, Handler handler)
+        : m_acceptor(context)
+        , m_shared(std::make_shared<Shared>())
+    {
+        m_shared->limits = limits;
+        m_shared->handler = std::move(handler);
+        const tcp::endpoint address(asio::ip::address_v4(listen.ip), listen.port);
+        m_acceptor.open(address.protocol());
+        m_acceptor.set_option(asio::socket_base::reuse_address(true));
+        m_acceptor.bind(address);
+        m_acceptor.listen(asio::socket_base::max_listen_connections);
+    }
+
+    void accept()
+    {
+        m_acceptor.async_accept([self = shared_from_this()](beast::error_code ec, tcp::socket socket) {
+            if (self->m_shared->closed) {
+                return;
+            }
+            const bool room = self->m_shared->sessions.size() < self->m_shared->limits.maxConnections;
+            if (!ec && room) {
+                beast::error_code optionError;
+                socket.set_option(tcp::no_delay(true), optionError);
+                const std::shared_ptr<Session> session = std::make_shared<Session>(std::move(socket), self->m_shared);
+                self->m_shared->sessions.insert(session);
+                session->read();
+            }
+            self->accept();
+        });
+    }
+
+    Endpoint endpoint() const
+    {
+        const tcp::endpoint local = m_acceptor.local_endpoint();
+        return Endpoint{local.address().to_v4().to_uint(), local.port()};
+    }
+
+    void startDraining()
+    {
+        m_shared->draining = true;
+        const std::set<std::shared_ptr<Session>> sessions = m_shared->sessions;
+        for (const std::shared_ptr<Session> &session : sessions) {
+            session->closeIfIdle();
+        }
+    }
+
+    void close()
+    {
+        m_shared->closed = true;
+        beast::error_code ec;
+        m_acceptor.close(ec);
+        const std::set<std::shared_ptr<Session>> sessions = m_shared->sessions;
+        for (const std::shared_ptr<Session> &session : sessions) {
+            session->close();
+        }
+    }
+
+private:
+    tcp::acceptor m_acceptor;
+    std::shared_ptr<Shared> m_shared;
+};
+
+HttpServer::HttpServer(asio::io_context &context, const Endpoint &listen, const HttpLimits &limits, Handler handler)
+    : m_impl(std::make_shared<Impl>(context, listen, limits, std::move(handler)))
+{
+    m_impl->accept();
+}
+
+HttpServer::~HttpServer()
+{
+    m_impl->close();
+}
+
+Endpoint HttpServer::endpoint() const
+{
+    return m_impl->endpoint();
+}
+
+void HttpServer::startDraining()
+{
+    m_impl->startDraining();
+}
+
+} // namespace cuminscale
--- /dev/null
+++ b/src/core/agent_core.cpp
@@ -0,0 +1,305 @@
+#include "core/agent_core.h"
+
+#include <algorithm>
+
+namespace cuminscale
+{
+
+namespace
+{
+
+constexpr const char *Part = "agent";
+/// Entries hear that an agent is leaving before it goes, however little it has to finish.
+constexpr Duration LeaveNoSoonerThan = milliseconds(1200);
+
+/// Rendezvous weight: every agent prefers other entries, and keeps its preference when the others change.
+std::size_t weightOf(const Endpoint &entry, const ProcessId &agent)
+{
+    return combineHash(IdHash()(entry), IdHash()(agent));
+}
+
+} // namespace
+
+AgentCore::AgentCore(const CoreSettings &settings, Policies policies)
+    : m_settings(settings)
+    , m_policies(std::move(policies))
+    , m_random(settings.identity.seed)
+    , m_coordinator(m_settings, m_policies)
+    , m_executor(m_settings, m_policies)
+{ }
+
+void AgentCore::handle(TimePoint now, Event &&event, Effects &effects)
+{
+    Step step(now, m_settings, m_counters, m_random, effects);
+    m_coordinator.setFreeSlots(m_executor.spareSlots(now));
+    if (event::PeerArrived *arrived = std::get_if<event::PeerArrived>(&event)) {
+        onPeer(step, std::move(arrived->envelope));
+    } else if (event::BackendFinished *finished = std::get_if<event::BackendFinished>(&event)) {
+        m_executor.onBackendFinished(step, std::move(*finished));
+    } else if (const event::BackendAnnounced *announced = std::get_if<event::BackendAnnounced>(&event)) {
+        m_heartbeatDue = m_executor.onAnnounced(step, *announced) || m_heartbeatDue;
+    } else if (const event::CallerAsked *asked = std::get_if<event::CallerAsked>(&event)) {
+        onCall(step, *asked);
+    } else if (std::holds_alternative<event::Tick>(event)) {
+        tick(step);
+    } else if (std::holds_alternative<event::ShutdownAsked>(event)) {
+        onShutdown(step);
+    }
+    finishStep(step);
+}
+
+void AgentCore::finishStep(Step &step)
+{
+    do {
+        while (std::optional<Envelope> envelope = step.takeLoopback()) {
+            dispatch(step, envelope->from, std::move(envelope->message), Duration::zero());
+        }
+        m_executor.settle(step);
+        m_coordinator.settle(step);
+    } while (step.hasLoopback());
+    if (m_heartbeatDue) {
+        heartbeat(step);
+    }
+}
+
+void AgentCore::onPeer(Step &step, Envelope &&envelope)
+{
+    const PeerTable::Hearing hearing = m_peers.heard(step.now(), envelope);
+    if (!hearing.accepted) {
+        step.count(Counter::StaleDropped);
+        return;
+    }
+    if (hearing.ended) {
+        onProcessEnded(step, *hearing.ended);
+    }
+    if (envelope.to != Incarnation() && envelope.to != step.self().incarnation) {
+        step.count(Counter::WrongIncarnation);
+        step.sendControl(envelope.from, msg::Gone{envelope.to});
+        return;
+    }
+    dispatch(step, envelope.from, std::move(envelope.message), hearing.age);
+}
+
+void AgentCore::dispatch(Step &step, const ProcessId &from, Message &&message, Duration age)
+{
+    struct Visitor
+    {
+        AgentCore &core;
+        Step &step;
+        const ProcessId &from;
+        Duration age;
+
+        void operator()(const msg::Heartbeat &) const { }
+        void operator()(const msg::HeartbeatReply &m) const
+        {
+            core.onHeartbeatReply(step, from, m);
+        }
+        void operator()(const msg::ConfigPush &m) const
+        {
+            core.onConfigPush(step, from, m);
+        }
+        void operator()(const msg::Mint &m) const
+        {
+            core.m_coordinator.onMint(step, from, m);
+        }
+        void operator()(const msg::Minted &) const { }
+        void operator()(const msg::Submit &m) const
+        {
+            core.m_coordinator.onSubmit(step, from, m, age, core.m_peers);
+        }
+        void operator()(const msg::Await &m) const
+        {
+            core.m_coordinator.onAwait(step, from, m);
+        }
+        void operator()(const msg::Cancel &m) const
+        {
+            core.m_coordinator.onCancel(step, from, m);
+        }
+        void operator()(const msg::JobReply &) const { }
+        void operator()(const msg::Offer &m) const
+        {
+            core.m_executor.onOffer(step, from, m);
+        }
+        void operator()(const msg::Withdraw &m) const
+        {
+            core.m_executor.onWithdraw(from, m);
+        }
+        void operator()(const msg::Claim &m) const
+        {
+            core.m_coordinator.onClaim(step, from, m);
+        }
+        void operator()(const msg::Grant &m) const
+        {
+            core.m_executor.onGrant(step, from, m);
+        }
+        void operator()(const msg::Results &m) const
+        {
+            core.m_peers.correctFreeSlots(from, m.freeSlots);
+            core.m_coordinator.onResults(step, from, m);
+        }
+        void operator()(const msg::ResultsAck &m) const
+        {
+            core.m_executor.onResultsAck(from, m);
+        }
+        void operator()(const msg::Query &m) const
+        {
+            core.m_executor.onQuery(step, from, m);
+        }
+        void operator()(const msg::QueryReply &m) const
+        {
+            core.m_coordinator.onQueryReply(step, from, m);
+        }
+        void operator()(const msg::CancelClaim &m) const
+        {
+            core.m_executor.onCancelClaim(step, from, m);
+        }
+        void operator()(const msg::Gone &) const { }
+    };
+    std::visit(Visitor{*this, step, from, age}, message);
+}
+
+void AgentCore::onProcessEnded(Step &step, const ProcessId &ended)
+{
+    m_executor.onProcessEnded(step, ended);
+    m_coordinator.onProcessEnded(step, ended);
+}
+
+void AgentCore::onHeartbeatReply(Step &step, const ProcessId &from, const msg::HeartbeatReply &reply)
+{
+    m_peers.report(from, AgentBrief{from, "", "", 0, 0, 0, reply.revision, false}, true);
+    for (const AgentBrief &brief : reply.agents) {
+        if (brief.agent.endpoint == step.self().endpoint) {
+            continue;
+        }
+        const std::optional<Incarnation> known = m_peers.incarnationAt(brief.agent.endpoint);
+        m_peers.hearsay(step.now(), brief);
+        if (known && *known < brief.agent.incarnation) {
+            onProcessEnded(step, ProcessId{brief.agent.endpoint, *known});
+        }
+    }
+    std::vector<Endpoint> entries;
+    for (const ProcessId &entry : reply.entries) {
+        entries.push_back(entry.endpoint);
+    }
+    if (!entries.empty() && entries != m_knownEntries) {
+        m_knownEntries = std::move(entries);
+        chooseEntries(step);
+    }
+}
+
+void AgentCore::onConfigPush(Step &step, const ProcessId & /*from*/, const msg::ConfigPush &push)
+{
+    const ConfigVersion version{push.revision, push.changeId, push.document};
+    if (m_config.offer(step, version) == ConfigKeeper::Verdict::Adopted) {
+        m_heartbeatDue = true;
+    }
+}
+
+void AgentCore::chooseEntries(Step &step)
+{
+    std::vector<Endpoint> candidates = m_knownEntries.empty() ? m_settings.seeds : m_knownEntries;
+    std::sort(candidates.begin(), candidates.end(),
+              [&step](const Endpoint &a, const Endpoint &b) { return weightOf(a, step.self()) > weightOf(b, step.self()); });
+    candidates.resize(std::min<std::size_t>(candidates.size(), m_settings.attachEntries));
+    m_entries = std::move(candidates);
+}
+
+AgentBrief AgentCore::ownBrief(TimePoint now) const
+{
+    AgentBrief brief;
+    brief.agent = m_settings.identity.self;
+    brief.service = m_executor.service();
+    brief.domain = m_settings.identity.domain;
+    brief.slots = m_executor.slots();
+    brief.freeSlots = m_executor.freeSlots(now);
+    brief.queued = m_executor.offersHeld();
+    brief.revision = m_config.revision();
+    brief.leaving = !m_executor.accepting(now);
+    return brief;
+}
+
+void AgentCore::heartbeat(Step &step)
+{
+    m_heartbeatDue = false;
+    m_lastHeartbeat = step.now();
+    for (const Endpoint &entry : m_entries) {
+        step.sendControl(ProcessId{entry, Incarnation()}, msg::Heartbeat{ownBrief(step.now()), false});
+    }
+}
+
+void AgentCore::tick(Step &step)
+{
+    const Timing &timing = m_settings.timing;
+    if (m_entries.empty()) {
+        chooseEntries(step);
+    }
+    m_executor.tick(step);
+    m_coordinator.tick(step, m_peers);
+    for (const Endpoint &endpoint : m_peers.dueForReplacement(step.now(), timing.suspectAfter)) {
+        step.count(Counter::ConnectionsReplaced);
+        step.add(effect::ReplaceConnection{endpoint});
+    }
+    for (const ProcessId &silent : m_peers.forgetSilent(step.now(), timing.goneAfter)) {
+        step.add(effect::ForgetConnection{silent.endpoint});
+        const auto it = std::find(m_knownEntries.begin(), m_knownEntries.end(), silent.endpoint);
+        if (it != m_knownEntries.end()) {
+            m_knownEntries.erase(it);
+            chooseEntries(step);
+        }
+    }
+    if (step.now() - m_lastHeartbeat >= timing.heartbeatEvery) {
+        m_heartbeatDue = true;
+    }
+    const bool finished = m_leaving && !m_stopped && m_coordinator.idle() && m_executor.idle();
+    if (finished && step.now() - m_leavingSince >= LeaveNoSoonerThan) {
+        m_stopped = true;
+        step.log(LogLevel::Info, Part, "All work is finished; the process ends.");
+        step.add(effect::Stopped{});
+    }
+}
+
+void AgentCore::onShutdown(Step &step)
+{
+    if (m_leaving) {
+        return;
+    }
+    m_leaving = true;
+    m_leavingSince = step.now();
+    m_coordinator.startLeaving();
+    m_executor.startLeaving();
+    m_heartbeatDue = true;
+    step.log(LogLevel::Info, Part, "Shutting down: no new work is taken.");
+}
+
+void AgentCore::onCall(Step &step, const event::CallerAsked &asked)
+{
+    CallerReply reply;
+    if (std::holds_alternative<call::ShowStatus>(asked.call)) {
+        reply.kind = CallerReply::Kind::Status;
+        reply.status = status(step.now());
+    } else {
+        reply.kind = CallerReply::Kind::NotFound;
+        reply.text = "An agent answers only questions about its state.";
+    }
+    step.add(effect::ReplyCaller{asked.tag, std::move(reply)});
+}
+
+StatusReport AgentCore::status(TimePoint now) const
+{
+    StatusReport report;
+    report.self = m_settings.identity.self;
+    report.role = "agent";
+    report.domain = m_settings.identity.domain;
+    report.revision = m_config.revision();
+    report.leaving = m_leaving;
+    report.ready = m_executor.accepting(now);
+    report.entries = m_peers.entries(now, m_settings.timing.suspectAfter);
+    report.agents = m_peers.agents(now, m_settings.timing.goneAfter);
+    report.agents.push_back(ownBrief(now));
+    report.jobs = m_coordinator.activeJobs();
+    report.waitingTasks = m_coordinator.waitingTasks();
+    report.counters = m_counters;
+    return report;
+}
+
+} // namespace cuminscale
--- /dev/null
+++ b/src/core/coordinator.cpp
@@ -0,0 +1,550 @@
+#include "core/coordinator.h"
+
+#include "core/tracing.h"
+
+#include <algorithm>
+
+namespace cuminscale
+{
+
+namespace
+{
+
+constexpr const char *Part = "coordinator";
+/// A refused caller had better not be back before the load has had time to change.
+constexpr Duration RefusedRetryAfter = seconds(1);
+/// Spans kept of one job; a job of 2,000 tasks would drown the others.
+constexpr std::size_t MaxSpansPerJob = 64;
+/// Fixed part of what a remembered answer occupies, for the bound on memory.
+constexpr std::size_t RecordBytes = 400;
+
+std::size_t bytesOf(const msg::JobReply &reply)
+{
+    std::size_t n = RecordBytes + reply.reason.size();
+    for (const TaskResult &result : reply.results) {
+        n += sizeof(TaskResult) + result.body.size();
+    }
+    return n;
+}
+
+void keepSpan(std::vector<Span> &spans, Span span)
+{
+    if (spans.size() < MaxSpansPerJob) {
+        spans.push_back(std::move(span));
+    }
+}
+
+} // namespace
+
+Coordinator::Coordinator(const CoreSettings &settings, Policies &policies)
+    : m_settings(settings)
+    , m_policies(policies)
+{ }
+
+SubmissionId Coordinator::idOf(Sequence sequence) const
+{
+    return SubmissionId{m_settings.identity.self, sequence};
+}
+
+void Coordinator::onMint(Step &step, const ProcessId &from, const msg::Mint &mint)
+{
+    if (m_leaving) {
+        return;
+    }
+    const std::uint32_t n = std::min(mint.count, m_settings.limits.idStock);
+    const Sequence first = m_nextSequence;
+    m_nextSequence = Sequence(first.value() + n);
+    step.sendControl(from, msg::Minted{first, n});
+}
+
+void Coordinator::reply(Step &step, const ProcessId &to, const msg::JobReply &reply)
+{
+    msg::JobReply copy = reply;
+    copy.freeSlots = m_freeSlots;
+    step.send(to, std::move(copy));
+}
+
+void Coordinator::replyState(Step &step, const ProcessId &to, SubmissionId id, JobState state, std::string reason)
+{
+    msg::JobReply answer;
+    answer.id = id;
+    answer.state = state;
+    answer.reason = std::move(reason);
+    reply(step, to, answer);
+}
+
+bool Coordinator::replyIfForgotten(Step &step, const ProcessId &from, const SubmissionId &id)
+{
+    if (id.sequence >= m_nextSequence) {
+        replyState(step, from, id, JobState::Expired, "This id was never handed out.");
+        return true;
+    }
+    if (id.sequence < m_lowWater) {
+        step.count(Counter::Expired);
+        replyState(step, from, id, JobState::Expired, "This id is too old to be told apart from one that has run.");
+        return true;
+    }
+    return false;
+}
+
+msg::JobReply Coordinator::progressOf(const SubmissionId &id, const Record &record) const
+{
+    if (!record.job) {
+        return record.end;
+    }
+    msg::JobReply progress;
+    progress.id = id;
+    progress.state = JobState::Accepted;
+    progress.done = record.job->done;
+    progress.total = static_cast<std::uint32_t>(record.job->spec->tasks.size());
+    return progress;
+}
+
+void Coordinator::onSubmit(Step &step, const ProcessId &from, const msg::Submit &submit, Duration age, const PeerTable &peers)
+{
+    const auto it = m_records.find(submit.id.sequence);
+    if (it != m_records.end()) {
+        Record &record = it->second;
+        const bool barred = !record.job && record.end.state == JobState::Refused;
+        if (!barred && record.digest != submit.spec->digest) {
+            step.count(Counter::Conflicts);
+            replyState(step, from, submit.id, JobState::Conflict, "This id belongs to another submission.");
+            return;
+        }
+        step.count(Counter::Resubmissions);
+        if (record.job) {
+            record.job->waiters.insert(from);
+        }
+        reply(step, from, progressOf(submit.id, record));
+        return;
+    }
+    if (replyIfForgotten(step, from, submit.id)) {
+        return;
+    }
+    const Duration budget = submit.budget - age;
+    if (m_leaving) {
+        bar(step, from, submit.id, "The coordinator is shutting down.", RefusedRetryAfter, submit.spec->digest);
+        return;
+    }
+    if (budget <= Duration::zero()) {
+        step.count(Counter::StaleDropped);
+        bar(step, from, submit.id, "The deadline had passed before the submission arrived.", Duration::zero(),
+            submit.spec->digest);
+        return;
+    }
+    const LoadView load{static_cast<std::uint32_t>(m_active.size()), m_waitingTasks};
+    const std::optional<std::string> reason = m_policies.admission->refuse(*submit.spec, load);
+    if (reason) {
+        bar(step, from, submit.id, *reason, RefusedRetryAfter, submit.spec->digest);
+        return;
+    }
+    accept(step, from, submit, budget, peers);
+}
+
+void Coordinator::bar(Step &step, const ProcessId &from, const SubmissionId &id, std::string reason, Duration retryAfter,
+                      Digest digest)
+{
+    CUMINSCALE_INVARIANT(m_records.find(id.sequence) == m_records.end(), "only an unseen id can be barred");
+    Record record;
+    record.digest = digest;
+    record.end.id = id;
+    record.end.state = JobState::Refused;
+    record.end.reason = std::move(reason);
+    record.end.retryAfter = retryAfter;
+    record.bytes = RecordBytes;
+    m_answerBytes += record.bytes;
+    step.count(Counter::JobsRefused);
+    reply(step, from, record.end);
+    m_ended.push_back(EndedAt{step.now(), id.sequence});
+    m_records.emplace(id.sequence, std::move(record));
+}
+
+void Coordinator::accept(Step &step, const ProcessId &from, const msg::Submit &submit, Duration budget, const PeerTable &peers)
+{
+    CUMINSCALE_INVARIANT(submit.id.sequence >= m_lowWater, "an expired id is never accepted");
+    std::unique_ptr<Job> job = std::make_unique<Job>();
+    job->spec = submit.spec;
+    job->accepted = step.now();
+    job->deadline = step.now() + budget;
+    const std::size_t n = submit.spec->tasks.size();
+    for (std::size_t i = 0; i < n; ++i) {
+        job->waiting.push_back(TaskIndex(static_cast<std::uint32_t>(i)));
+    }
+    job->results.resize(n);
+    job->ended.resize(n, false);
+    job->waiters.insert(from);
+    job->trace = submit.trace;
+    job->spanId = step.drawId();
+    job->offeredAnew = step.now();
+    m_waitingTasks += static_cast<std::uint32_t>(n);
+    step.count(Counter::JobsAccepted);
+    Record record;
+    record.digest = submit.spec->digest;
+    record.member = submit.spec->member;
+    record.job = std::move(job);
+    m_active.insert(submit.id.sequence);
+    Record &kept = m_records.emplace(submit.id.sequence, std::move(record)).first->second;
+    // A single request is answered by its end alone; whoever submits a whole job wants to know that it was taken.
+    if (n > 1) {
+        reply(step, from, progressOf(submit.id, kept));
+    }
+    offer(step, submit.id, *kept.job, peers);
+}
+
+void Coordinator::offer(Step &step, const SubmissionId &id, Job &job, const PeerTable &peers)
+{
+    const msg::Offer message{id, job.spec->member, job.spec->kind, static_cast<std::uint32_t>(job.waiting.size())};
+    job.lastOffer = step.now();
+    const bool ownIsNew = job.offered.insert(step.self()).second;
+    if (ownIsNew) {
+        step.send(step.self(), message);
+    }
+    // The own backend server takes what it has room for in this very step; only the rest is offered elsewhere.
+    if (ownIsNew && job.waiting.size() <= m_freeSlots) {
+        return;
+    }
+    std::vector<AgentBrief> candidates;
+    for (const AgentBrief &brief : peers.usableAgents(step.now(), m_settings.timing.suspectAfter, job.spec->service)) {
+        if (brief.agent != step.self() && job.offered.count(brief.agent) == 0) {
+            candidates.push_back(brief);
+        }
+    }
+    const std::uint32_t fanOut = m_settings.limits.offerFanOut;
+    for (const ProcessId &target :
+         m_policies.offers->choose(candidates, message.waiting, fanOut, m_settings.identity.domain, step.random())) {
+        job.offered.insert(target);
+        step.count(Counter::OffersSent);
+        step.send(target, message);
+    }
+}
+
+void Coordinator::onAwait(Step &step, const ProcessId &from, const msg::Await &await)
+{
+    const auto it = m_records.find(await.id.sequence);
+    if (it == m_records.end()) {
+        if (!replyIfForgotten(step, from, await.id)) {
+            replyState(step, from, await.id, JobState::NotKnown, "Nothing was submitted under this id.");
+        }
+        return;
+    }
+    if (it->second.job) {
+        it->second.job->waiters.insert(from);
+    }
+    reply(step, from, progressOf(await.id, it->second));
+}
+
+void Coordinator::onCancel(Step &step, const ProcessId &from, const msg::Cancel &cancel)
+{
+    const auto it = m_records.find(cancel.id.sequence);
+    if (it == m_records.end()) {
+        if (!replyIfForgotten(step, from, cancel.id)) {
+            bar(step, from, cancel.id, "Cancelled before it was submitted.", Duration::zero(), Digest());
+        }
+        return;
+    }
+    Record &record = it->second;
+    if (record.job && record.member != cancel.member) {
+        replyState(step, from, cancel.id, JobState::Conflict, "This job belongs to another member.");
+        return;
+    }
+    if (record.job) {
+        record.job->waiters.insert(from);
+        fail(step, cancel.id.sequence, record, "The job was cancelled.");
+        return;
+    }
+    reply(step, from, record.end);
+}
+
+void Coordinator::onClaim(Step &step, const ProcessId &from, const msg::Claim &claim)
+{
+    msg::Grant grant;
+    grant.claim = claim.claim;
+    grant.job = claim.job;
+    const auto it = m_records.find(claim.job.sequence);
+    if (it == m_records.end() || !it->second.job) {
+        step.count(Counter::EmptyGrants);
+        step.send(from, std::move(grant));
+        return;
+    }
+    Job &job = *it->second.job;
+    const GrantKey key{from, claim.claim};
+    const auto live = job.grants.find(key);
+    std::vector<TaskIndex> granted;
+    if (live != job.grants.end()) {
+        granted = live->second.open;
+    } else if (job.lastClaim[from] < claim.claim && step.now() < job.deadline) {
+        // An older claim than the last one seen from this agent is a copy: its grant, if any, has been settled.
+        job.lastClaim[from] = claim.claim;
+        job.lastClaimed = step.now();
+        const std::size_t n = std::min<std::size_t>(claim.want, job.waiting.size());
+        for (std::size_t i = 0; i < n; ++i) {
+            CUMINSCALE_INVARIANT(!job.ended[job.waiting.front().value()], "a task that has ended is never granted");
+            granted.push_back(job.waiting.front());
+            job.waiting.pop_front();
+        }
+        m_waitingTasks -= static_cast<std::uint32_t>(n);
+        if (n > 0) {
+            job.grants.emplace(key, LiveGrant{granted, step.now(), step.now()});
+        }
+    }
+    if (job.trace.sampled && !granted.empty()) {
+        keepSpan(job.spans, endedSpan(step, childOf(job.trace, job.spanId), step.drawId(), "queue", job.accepted, "granted"));
+    }
+    for (const TaskIndex &index : granted) {
+        grant.tasks.push_back(msg::GrantedTask{index, job.spec->tasks[index.value()].payload});
+    }
+    grant.waiting = static_cast<std::uint32_t>(job.waiting.size());
+    grant.budget = job.deadline - step.now();
+    grant.trace = childOf(job.trace, job.spanId);
+    if (grant.tasks.empty()) {
+        step.count(Counter::EmptyGrants);
+    }
+    step.send(from, std::move(grant));
+}
+
+void Coordinator::onResults(Step &step, const ProcessId &from, const msg::Results &results)
+{
+    for (const msg::ResultItem &item : results.items) {
+        m_acks[from].push_back(TaskRef{item.job, item.claim, item.index});
+        recordResult(step, from, item);
+    }
+}
+
+void Coordinator::recordResult(Step &step, const ProcessId &from, const msg::ResultItem &item)
+{
+    const auto it = m_records.find(item.job.sequence);
+    if (it == m_records.end() || !it->second.job) {
+        return;
+    }
+    Record &record = it->second;
+    Job &job = *record.job;
+    const auto live = job.grants.find(GrantKey{from, item.claim});
+    if (live == job.grants.end()) {
+        return;
+    }
+    std::vector<TaskIndex> &open = live->second.open;
+    const auto position = std::find(open.begin(), open.end(), item.index);
+    if (position == open.end()) {
+        return;
+    }
+    CUMINSCALE_INVARIANT(!job.ended[item.index.value()], "a task ends once");
+    live->second.lastNews = step.now();
+    open.erase(position);
+    if (open.empty()) {
+        job.grants.erase(live);
+    }
+    for (const Span &span : item.spans) {
+        keepSpan(job.spans, span);
+    }
+    if (item.result.status == TaskStatus::NotStarted) {
+        takeBack(job, item.index);
+        return;
+    }
+    job.anyStarted = true;
+    switch (item.result.status) {
+    case TaskStatus::Failed:
+        fail(step, item.job.sequence, record,
+             "Task " + std::to_string(item.index.value()) + " failed with status " + std::to_string(item.result.httpStatus)
+                 + ".");
+        return;
+    case TaskStatus::Unknown:
+        fail(step, item.job.sequence, record, "The end of task " + std::to_string(item.index.value()) + " was lost.", true);
+        return;
+    case TaskStatus::Succeeded:
+    case TaskStatus::NotStarted:
+        break;
+    }
+    job.ended[item.index.value()] = true;
+    job.results[item.index.value()] = item.result;
+    ++job.done;
+    if (job.done == job.results.size()) {
+        complete(step, item.job.sequence, record);
+    }
+}
+
+void Coordinator::takeBack(Job &job, TaskIndex index)
+{
+    job.waiting.push_front(index);
+    ++m_waitingTasks;
+    // Whoever was offered the job may have dropped the offer since; all may be asked anew.
+    job.offered.clear();
+}
+
+void Coordinator::onQueryReply(Step &step, const ProcessId &from, const msg::QueryReply &reply)
+{
+    const auto it = m_records.find(reply.job.sequence);
+    if (it == m_records.end() || !it->second.job) {
+        return;
+    }
+    Job &job = *it->second.job;
+    const auto live = job.grants.find(GrantKey{from, reply.claim});
+    if (live == job.grants.end()) {
+        return;
+    }
+    live->second.lastNews = step.now();
+    if (reply.forgotten) {
+        job.anyStarted = true;
+        fail(step, reply.job.sequence, it->second, "The agent that ran a task no longer knows how it ended.", true);
+        return;
+    }
+    std::vector<TaskIndex> stillOpen;
+    for (const TaskIndex &index : live->second.open) {
+        const bool started = std::find(reply.started.begin(), reply.started.end(), index) != reply.started.end();
+        if (started) {
+            job.anyStarted = true;
+            stillOpen.push_back(index);
+        } else {
+            step.count(Counter::ClaimsBarred);
+            takeBack(job, index);
+        }
+    }
+    live->second.open = std::move(stillOpen);
+    if (live->second.open.empty()) {
+        job.grants.erase(live);
+    }
+}
+
+void Coordinator::onProcessEnded(Step &step, const ProcessId &ended)
+{
+    std::vector<Sequence> affected;
+    for (const Sequence &sequence : m_active) {
+        const Job &job = *m_records.at(sequence).job;
+        const auto it = job.grants.lower_bound(GrantKey{ended, ClaimId()});
+        if (it != job.grants.end() && it->first.first == ended) {
+            affected.push_back(sequence);
+        }
+    }
+    for (const Sequence &sequence : affected) {
+        fail(step, sequence, m_records.at(sequence), "The agent that ran a task is gone.");
+    }
+    m_acks.erase(ended);
+}
+
+void Coordinator::complete(Step &step, Sequence sequence, Record &record)
+{
+    Job &job = *record.job;
+    CUMINSCALE_INVARIANT(job.grants.empty() && job.waiting.empty(), "a complete job has nothing outstanding");
+    CUMINSCALE_INVARIANT(std::find(job.ended.begin(), job.ended.end(), false) == job.ended.end(), "an answer is whole");
+    step.count(Counter::JobsComplete);
+    msg::JobReply end;
+    end.id = idOf(sequence);
+    end.state = JobState::Complete;
+    end.total = static_cast<std::uint32_t>(job.results.size());
+    end.done = end.total;
+    end.results = std::move(job.results);
+    finish(step, sequence, record, std::move(end));
+}
+
+void Coordinator::fail(Step &step, Sequence sequence, Record &record, std::string reason, bool outcomeUnknown)
+{
+    Job &job = *record.job;
+    // With nothing granted and nothing reported as started, no task has run; as the record keeps the id barred, none will.
+    const bool neverStarted = !job.anyStarted && job.grants.empty();
+    step.count(neverStarted ? Counter::JobsRefused : Counter::JobsFailed);
+    msg::JobReply end;
+    end.id = idOf(sequence);
+    end.state = neverStarted ? JobState::Refused : JobState::Failed;
+    end.reason = std::move(reason);
+    end.outcomeUnknown = !job.grants.empty() || outcomeUnknown;
+    end.total = static_cast<std::uint32_t>(job.results.size());
+    end.done = job.done;
+    for (const std::pair<const GrantKey, LiveGrant> &live : job.grants) {
+        step.send(live.first.first, msg::CancelClaim{live.first.second, end.id});
+    }
+    if (!job.waiting.empty()) {
+        for (const ProcessId &agent : job.offered) {
+            step.send(agent, msg::Withdraw{end.id});
+        }
+    }
+    m_waitingTasks -= static_cast<std::uint32_t>(job.waiting.size());
+    finish(step, sequence, record, std::move(end));
+}
+
+void Coordinator::finish(Step &step, Sequence sequence, Record &record, msg::JobReply &&end)
+{
+    Job &job = *record.job;
+    record.bytes = bytesOf(end);
+    m_answerBytes += record.bytes;
+    record.end = std::move(end);
+    msg::JobReply answer = record.end;
+    if (job.trace.sampled) {
+        const char *outcome = answer.state == JobState::Complete ? "complete" : "failed";
+        job.spans.push_back(endedSpan(step, job.trace, job.spanId, "coordinator", job.accepted, outcome));
+        answer.spans = std::move(job.spans);
+    }
+    for (const ProcessId &waiter : job.waiters) {
+        reply(step, waiter, answer);
+    }
+    record.job.reset();
+    m_active.erase(sequence);
+    m_ended.push_back(EndedAt{step.now(), sequence});
+}
+
+void Coordinator::askAboutDoubtful(Step &step, Sequence sequence, Record &record)
+{
+    Job &job = *record.job;
+    for (std::pair<const GrantKey, LiveGrant> &live : job.grants) {
+        const ProcessId &agent = live.first.first;
+        LiveGrant &grant = live.second;
+        if (step.now() - grant.lastNews > m_settings.timing.goneAfter && agent != step.self()) {
+            fail(step, sequence, record, "The agent that ran a task is silent.");
+            return;
+        }
+        const TimePoint last = std::max(grant.lastNews, grant.lastQuery);
+        if (step.now() - last >= m_settings.timing.queryAfter) {
+            grant.lastQuery = step.now();
+            step.count(Counter::QueriesSent);
+            step.send(agent, msg::Query{live.first.second, idOf(sequence)});
+        }
+    }
+}
+
+void Coordinator::tick(Step &step, const PeerTable &peers)
+{
+    const std::vector<Sequence> active(m_active.begin(), m_active.end());
+    for (const Sequence &sequence : active) {
+        Record &record = m_records.at(sequence);
+        Job &job = *record.job;
+        if (step.now() >= job.deadline) {
+            fail(step, sequence, record, "The deadline passed.");
+            continue;
+        }
+        if (!job.waiting.empty() && step.now() - job.lastOffer >= m_settings.timing.offerAgainEvery) {
+            // Offers and claims can be lost; when nobody has claimed for a while, everybody is asked anew.
+            if (step.now() - std::max(job.lastClaimed, job.offeredAnew) >= m_settings.timing.queryAfter) {
+                job.offeredAnew = step.now();
+                job.offered.clear();
+            }
+            offer(step, idOf(sequence), job, peers);
+        }
+        askAboutDoubtful(step, sequence, record);
+    }
+    forgetOld(step);
+}
+
+void Coordinator::settle(Step &step)
+{
+    for (std::pair<const ProcessId, std::vector<TaskRef>> &acks : m_acks) {
+        step.send(acks.first, msg::ResultsAck{std::move(acks.second)});
+    }
+    m_acks.clear();
+}
+
+void Coordinator::forgetOld(Step &step)
+{
+    while (!m_ended.empty()) {
+        const EndedAt oldest = m_ended.front();
+        const bool tooOld = step.now() - oldest.when > m_settings.timing.rememberAnswers;
+        const bool tooMany = m_records.size() > m_settings.limits.maxJobs || m_answerBytes > m_settings.limits.maxAnswerBytes;
+        if (!tooOld && !tooMany) {
+            return;
+        }
+        const auto it = m_records.find(oldest.sequence);
+        m_answerBytes -= it->second.bytes;
+        m_records.erase(it);
+        m_lowWater = std::max(m_lowWater, Sequence(oldest.sequence.value() + 1));
+        m_ended.pop_front();
+    }
+}
+
+} // namespace cuminscale
--- /dev/null
+++ b/src/core/json_reader.cpp
@@ -0,0 +1,151 @@
+#include "core/json_reader.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/leaf/error.hpp>
+
+#include <algorithm>
+
+namespace cuminscale
+{
+
+namespace leaf = boost::leaf;
+namespace json = boost::json;
+
+namespace
+{
+
+/// Nesting beyond this has no use in any text of ours.
+constexpr std::size_t MaxDepth = 16;
+/// Texts in settings and documents; payloads have limits of their own.
+constexpr std::size_t MaxTextBytes = 64U << 20U;
+
+} // namespace
+
+leaf::result<json::value> parseJson(std::string_view text)
+{
+    json::parse_options options;
+    options.allow_comments = true;
+    options.allow_trailing_commas = true;
+    options.max_depth = MaxDepth;
+    json::error_code ec;
+    json::value value = json::parse(json::string_view(text.data(), text.size()), ec, {}, options);
+    if (ec) {
+        return leaf::new_error(JsonError{"document", "is not valid JSON: " + ec.message()});
+    }
+    return value;
+}
+
+leaf::result<JsonObject> JsonObject::from(const json::value &value, const std::string &path)
+{
+    if (!value.is_object()) {
+        return leaf::new_error(JsonError{path, "has to be an object"});
+    }
+    return JsonObject(value.get_object(), path);
+}
+
+leaf::result<void> JsonObject::allow(std::initializer_list<std::string_view> keys) const
+{
+    for (const json::key_value_pair &field : m_object) {
+        const std::string_view key(field.key().data(), field.key().size());
+        if (std::find(keys.begin(), keys.end(), key) == keys.end()) {
+            return fail(key, "is not a known key");
+        }
+    }
+    return {};
+}
+
+leaf::result<std::string> JsonObject::text(std::string_view key, std::string fallback) const
+{
+    const json::value *value = m_object.if_contains(json::string_view(key.data(), key.size()));
+    if (value == nullptr) {
+        return fallback;
+    }
+    if (!value->is_string() || value->get_string().size() > MaxTextBytes) {
+        return fail(key, "has to be a text");
+    }
+    return std::string(value->get_string().data(), value->get_string().size());
+}
+
+leaf::result<std::string> JsonObject::requiredText(std::string_view key) const
+{
+    BOOST_LEAF_AUTO(value, text(key, std::string()));
+    if (value.empty()) {
+        return fail(key, "has to be given");
+    }
+    return value;
+}
+
+leaf::result<std::uint64_t> JsonObject::number(std::string_view key, std::uint64_t fallback, std::uint64_t least,
+                                               std::uint64_t most) const
+{
+    const json::value *value = m_object.if_contains(json::string_view(key.data(), key.size()));
+    if (value == nullptr) {
+        return fallback;
+    }
+    json::error_code ec;
+    const std::uint64_t n = value->is_number() ? value->to_number<std::uint64_t>(ec) : 0;
+    if (!value->is_number() || ec || n < least || n > most) {
+        return fail(key, "has to be a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+    }
+    return n;
+}
+
+leaf::result<double> JsonObject::fraction(std::string_view key, double fallback, double least, double most) const
+{
+    const json::value *value = m_object.if_contains(json::string_view(key.data(), key.size()));
+    if (value == nullptr) {
+        return fallback;
+    }
+    json::error_code ec;
+    const double n = value->is_number() ? value->to_number<double>(ec) : 0;
+    if (!value->is_number() || ec || n < least || n > most) {
+        return fail(key, "has to be a number from " + std::to_string(least) + " to " + std::to_string(most));
+    }
+    return n;
+}
+
+leaf::result<bool> JsonObject::flag(std::string_view key, bool fallback) const
+{
+    const json::value *value = m_object.if_contains(json::string_view(key.data(), key.size()));
+    if (value == nullptr) {
+        return fallback;
+    }
+    if (!value->is_bool()) {
+        return fail(key, "has to be true or false");
+    }
+    return value->get_bool();
+}
+
+leaf::result<JsonObject> JsonObject::object(std::string_view key) const
+{
+    static const json::object Empty;
+    const json::value *value = m_object.if_contains(json::string_view(key.data(), key.size()));
+    if (value == nullptr) {
+        return JsonObject(Empty, pathOf(key));
+    }
+    return from(*value, pathOf(key));
+}
+
+leaf::result<const json::array *> JsonObject::list(std::string_view key) const
+{
+    const json::value *value = m_object.if_contains(json::string_view(key.data(), key.size()));
+    if (value == nullptr) {
+        return nullptr;
+    }
+    if (!value->is_array()) {
+        return fail(key, "has to be a list");
+    }
+    return &value->get_array();
+}
+
+std::string JsonObject::pathOf(std::string_view key) const
+{
+    return m_path.empty() ? std::string(key) : m_path + "." + std::string(key);
+}
+
+leaf::error_id JsonObject::fail(std::string_view key, std::string reason) const
+{
+    return leaf::new_error(JsonError{pathOf(key), std::move(reason)});
+}
+
+} // namespace cuminscale
--- /dev/null
+++ b/src/core/policy.cpp
@@ -0,0 +1,195 @@
+#include "core/policy.h"
+
+#include <algorithm>
+
+namespace cuminscale
+{
+
+namespace
+{
+
+/// Shuffles first, so that agents which look alike share the load.
+std::vector<AgentBrief> shuffled(const std::vector<AgentBrief> &candidates, Random &random)
+{
+    std::vector<AgentBrief> result = candidates;
+    std::shuffle(result.begin(), result.end(), random);
+    return result;
+}
+
+class FreeSlotsFirstOffers : public OfferPolicy
+{
+public:
+    std::vector<ProcessId> choose(const std::vector<AgentBrief> &candidates, std::uint32_t waiting, std::uint32_t most,
+                                  const std::string &ownDomain, Random &random) override
+    {
+        std::vector<AgentBrief> ranked = shuffled(candidates, random);
+        std::stable_sort(ranked.begin(), ranked.end(), [&ownDomain](const AgentBrief &a, const AgentBrief &b) {
+            const bool aFree = a.freeSlots > 0;
+            const bool bFree = b.freeSlots > 0;
+            if (aFree != bFree) {
+                return aFree;
+            }
+            if (aFree && (a.domain == ownDomain) != (b.domain == ownDomain)) {
+                return a.domain == ownDomain;
+            }
+            return aFree ? a.freeSlots > b.freeSlots : a.queued < b.queued;
+        });
+        std::vector<ProcessId> chosen;
+        std::uint32_t covered = 0;
+        for (const AgentBrief &brief : ranked) {
+            const bool enough = covered >= waiting && chosen.size() >= MinFanOut;
+            if (chosen.size() >= most || enough) {
+                break;
+            }
+            chosen.push_back(brief.agent);
+            covered += std::max(brief.freeSlots, 1U);
+        }
+        return chosen;
+    }
+
+private:
+    /// A second agent covers for the first one's report being out of date.
+    static constexpr std::size_t MinFanOut = 2;
+};
+
+class RandomOffers : public OfferPolicy
+{
+public:
+    std::vector<ProcessId> choose(const std::vector<AgentBrief> &candidates, std::uint32_t waiting, std::uint32_t most,
+                                  const std::string & /*ownDomain*/, Random &random) override
+    {
+        std::vector<ProcessId> chosen;
+        for (const AgentBrief &brief : shuffled(candidates, random)) {
+            if (chosen.size() >= std::min(most, waiting)) {
+                break;
+            }
+            chosen.push_back(brief.agent);
+        }
+        return chosen;
+    }
+};
+
+class FewestLeftOrder : public QueueOrder
+{
+public:
+    bool before(const OfferView &first, const OfferView &second) const override
+    {
+        if (first.waiting != second.waiting) {
+            return first.waiting < second.waiting;
+        }
+        return first.received < second.received;
+    }
+};
+
+class FirstComeOrder : public QueueOrder
+{
+public:
+    bool before(const OfferView &first, const OfferView &second) const override
+    {
+        return first.received < second.received;
+    }
+};
+
+class BoundedAdmission : public Admission
+{
+public:
+    explicit BoundedAdmission(const Limits &limits)
+        : m_limits(limits)
+    { }
+
+    std::optional<std::string> refuse(const JobSpec &spec, const LoadView &load) const override
+    {
+        if (load.jobs >= m_limits.maxJobs) {
+            return "The coordinator has as many jobs in progress as it may hold.";
+        }
+        if (load.waitingTasks + spec.tasks.size() > m_limits.maxWaitingTasks) {
+            return "The coordinator's queue of waiting tasks is full.";
+        }
+        return std::nullopt;
+    }
+
+private:
+    Limits m_limits;
+};
+
+class MostFreeCoordinator : public CoordinatorChoice
+{
+public:
+    std::size_t choose(const std::vector<AgentBrief> &candidates, const std::vector<std::uint32_t> &recent,
+                       Random &random) override
+    {
+        std::size_t best = 0;
+        std::int64_t bestScore = 0;
+        std::uint64_t ties = 0;
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            const AgentBrief &brief = candidates[i];
+            const std::int64_t score = static_cast<std::int64_t>(brief.freeSlots) - brief.queued - recent[i];
+            ties = (i == 0 || score > bestScore) ? 1 : ties + (score == bestScore ? 1 : 0);
+            const bool wins = i == 0 || score > bestScore || (score == bestScore && random() % ties == 0);
+            if (wins) {
+                best = i;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+};
+
+class RandomCoordinator : public CoordinatorChoice
+{
+public:
+    std::size_t choose(const std::vector<AgentBrief> &candidates, const std::vector<std::uint32_t> & /*recent*/,
+                       Random &random) override
+    {
+        return random() % candidates.size();
+    }
+};
+
+} // namespace
+
+std::unique_ptr<OfferPolicy> makeFreeSlotsFirstOffers()
+{
+    return std::make_unique<FreeSlotsFirstOffers>();
+}
+
+std::unique_ptr<OfferPolicy> makeRandomOffers()
+{
+    return std::make_unique<RandomOffers>();
+}
+
+std::unique_ptr<QueueOrder> makeFewestLeftOrder()
+{
+    return std::make_unique<FewestLeftOrder>();
+}
+
+std::unique_ptr<QueueOrder> makeFirstComeOrder()
+{
+    return std::make_unique<FirstComeOrder>();
+}
+
+std::unique_ptr<Admission> makeBoundedAdmission(const Limits &limits)
+{
+    return std::make_unique<BoundedAdmission>(limits);
+}
+
+std::unique_ptr<CoordinatorChoice> makeMostFreeCoordinator()
+{
+    return std::make_unique<MostFreeCoordinator>();
+}
+
+std::unique_ptr<CoordinatorChoice> makeRandomCoordinator()
+{
+    return std::make_unique<RandomCoordinator>();
+}
+
+Policies makeDefaultPolicies(const Limits &limits)
+{
+    Policies policies;
+    policies.offers = makeFreeSlotsFirstOffers();
+    policies.order = makeFewestLeftOrder();
+    policies.admission = makeBoundedAdmission(limits);
+    policies.coordinator = makeMostFreeCoordinator();
+    return policies;
+}
+
+} // namespace cuminscale
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,58 @@
+/// cuminscaled: an entry or an agent, as its settings say.
+#include "daemon/process.h"
+#include "daemon/settings_file.h"
+
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <iostream>
+
+DEFINE_string(settings, "", "The settings file; docs/CONFIGURATION.md lists its keys.");
+DEFINE_bool(check, false, "Check the settings file and exit.");
+
+namespace
+{
+
+constexpr int ExitOk = 0;
+constexpr int ExitBadSettings = 2;
+constexpr int ExitCannotStart = 3;
+
+int runDaemon(const cuminscale::DaemonSettings &settings)
+{
+    cuminscale::startLog(settings.logLevel);
+    try {
+        cuminscale::Process process(settings);
+        std::cout << process.describe() << std::endl;
+        process.run();
+    } catch (const std::exception &e) {
+        cuminscale::logNow(cuminscale::LogLevel::Error, "daemon", std::string("The process can't start: ") + e.what());
+        return ExitCannotStart;
+    }
+    return ExitOk;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("runs one process of cuminscale: cuminscaled --settings FILE [--check]");
+    gflags::SetVersionString("0.1.0");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_settings.empty()) {
+        std::cerr << "cuminscaled: name a settings file with --settings FILE\n";
+        return ExitBadSettings;
+    }
+    cuminscale::SettingsError error;
+    const std::optional<cuminscale::DaemonSettings> settings = cuminscale::readSettings(FLAGS_settings, error);
+    if (!settings) {
+        std::cerr << "cuminscaled: " << FLAGS_settings << ": " << error.key << ": " << error.reason << "\n";
+        return ExitBadSettings;
+    }
+    if (FLAGS_check) {
+        std::cout << FLAGS_settings << ": ok\n";
+        return ExitOk;
+    }
+    // A caller that hangs up while its answer is written is an error of that connection, not of the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    return runDaemon(*settings);
+}
--- /dev/null
+++ b/tests/caller_api_tests.cpp
@@ -0,0 +1,131 @@
+#include "adapters/announcement.h"
+#include "adapters/caller_api.h"
+#include "adapters/etcd_messages.h"
+#include "adapters/trace_header.h"
+#include "core/refusal.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cuminscale;
+
+namespace
+{
+
+const std::string Id = "7f000001-1b59-1-1";
+const std::string Job = R"({"member": "m", "kind": "k", "tasks": [{"payload": "a"}, {"payload": "b", "run_ms": 40}]})";
+
+std::variant<CallerCall, ApiError> parse(const std::string &method, const std::string &target, const std::string &body = "")
+{
+    return parseCall(HttpRequest{method, target, body, {}}, Door::Caller, ApiLimits{3, 10, 0});
+}
+
+/// The sentence that turns a body away; empty when it is taken.
+std::string complaint(const std::string &body)
+{
+    const std::variant<CallerCall, ApiError> parsed = parse("PUT", "/v1/services/s/jobs/" + Id, body);
+    const ApiError *error = std::get_if<ApiError>(&parsed);
+    return error == nullptr ? std::string() : error->reason;
+}
+
+} // namespace
+
+TEST_CASE("a job is read, and its digest depends on its body and service alone")
+{
+    const std::variant<CallerCall, ApiError> first = parse("PUT", "/v1/services/s/jobs/" + Id + "?wait=false", Job);
+    const call::SubmitJob &call = std::get<call::SubmitJob>(std::get<CallerCall>(first));
+    REQUIRE_FALSE(call.wait);
+    REQUIRE(call.spec->tasks.size() == 2);
+    REQUIRE(call.spec->tasks[1].declaredRun == milliseconds(40));
+    const std::variant<CallerCall, ApiError> again = parse("PUT", "/v1/services/s/jobs/" + Id, Job);
+    REQUIRE(std::get<call::SubmitJob>(std::get<CallerCall>(again)).spec->digest == call.spec->digest);
+    const std::variant<CallerCall, ApiError> other = parse("PUT", "/v1/services/t/jobs/" + Id, Job);
+    REQUIRE(std::get<call::SubmitJob>(std::get<CallerCall>(other)).spec->digest != call.spec->digest);
+}
+
+TEST_CASE("bad input is turned away with the field's name")
+{
+    REQUIRE(complaint(Job).empty());
+    REQUIRE(complaint("").rfind("document:", 0) == 0);
+    REQUIRE(complaint(R"({"kind": "k", "tasks": [{}]})").rfind("member:", 0) == 0);
+    REQUIRE(complaint(R"({"member": 3, "kind": "k", "tasks": [{}]})").rfind("member:", 0) == 0);
+    REQUIRE(complaint(R"({"member": "m", "kind": "k", "tasks": []})").rfind("tasks:", 0) == 0);
+    REQUIRE(complaint(R"({"member": "m", "kind": "k", "tasks": [{},{},{},{}]})").rfind("tasks:", 0) == 0);
+    REQUIRE(complaint(R"({"member": "m", "kind": "k", "tasks": [{"payload": {}}]})").rfind("tasks.0.payload:", 0) == 0);
+    REQUIRE(complaint(R"({"member": "m", "kind": "k", "tasks": [{"run_ms": -1}]})").rfind("tasks.0.run_ms:", 0) == 0);
+    REQUIRE(complaint(R"({"member": "m", "kind": "k", "deadline": 3, "tasks": [{}]})").rfind("deadline:", 0) == 0);
+    REQUIRE(std::get<ApiError>(parse("PUT", "/v1/services/s/jobs/mine", Job)).reason.rfind("id:", 0) == 0);
+    REQUIRE(std::get<ApiError>(parse("POST", "/v1/services/s/ids?count=11")).reason.rfind("count:", 0) == 0);
+    REQUIRE(std::get<ApiError>(parse("GET", "/v2/x")).status == 404);
+    REQUIRE(std::get<ApiError>(parse("PUT", "/v1/config?base=0&change=a", "{}")).status == 404);
+}
+
+TEST_CASE("each outcome has its own status and header")
+{
+    CallerReply reply;
+    reply.kind = CallerReply::Kind::Job;
+    reply.job = msg::JobReply();
+    reply.job->state = JobState::Refused;
+    reply.job->retryAfter = milliseconds(1200);
+    reply.outcome = Refusal::barred(*reply.job);
+    const HttpResponse refused = renderReply(reply);
+    REQUIRE(refused.status == 503);
+    REQUIRE(refused.header("cuminscale-outcome") == "not-run");
+    REQUIRE(refused.header("retry-after") == "2");
+    reply.job->state = JobState::Failed;
+    reply.job->outcomeUnknown = true;
+    reply.outcome = Unknown{"lost"};
+    REQUIRE(renderReply(reply).status == 504);
+    REQUIRE(renderReply(reply).header("Cuminscale-Outcome") == "unknown");
+    reply.job->state = JobState::Complete;
+    reply.outcome = Ran{};
+    REQUIRE(renderReply(reply).status == 200);
+    REQUIRE(renderReply(reply).header("Cuminscale-Outcome") == "ran");
+}
+
+TEST_CASE("announcements of backend servers are checked")
+{
+    const std::variant<event::BackendAnnounced, ApiError> good =
+        parseAnnouncement(R"({"service": "s", "address": "127.0.0.1:80", "slots": 8, "connections": 64, "leaving": true})");
+    REQUIRE(std::get<event::BackendAnnounced>(good).leaving);
+    REQUIRE(std::get<event::BackendAnnounced>(good).slots == 8);
+    for (const char *body : {"", "[]", "{}", R"({"service": "s"})", R"({"service": "s", "address": "x"})",
+                             R"({"service": "s", "address": "127.0.0.1:80", "slots": 0})",
+                             R"({"service": "s", "address": "127.0.0.1:80", "ttl_ms": 60000})"}) {
+        INFO(body);
+        REQUIRE(std::holds_alternative<ApiError>(parseAnnouncement(body)));
+    }
+}
+
+TEST_CASE("a traceparent survives, and malformed ones are ignored")
+{
+    const std::string text = "00-4bf92f3577b34da6a3ce929d0e0e4736-00f067aa0ba902b7-01";
+    const std::optional<TraceContext> context = parseTraceparent(text);
+    REQUIRE(context);
+    REQUIRE(context->sampled);
+    REQUIRE(renderTraceparent(*context) == text);
+    for (const char *bad : {"", "00-", "00-00000000000000000000000000000000-00f067aa0ba902b7-01",
+                            "00-4bf92f3577b34da6a3ce929d0e0e473x-00f067aa0ba902b7-01"}) {
+        REQUIRE_FALSE(parseTraceparent(bad));
+    }
+}
+
+TEST_CASE("the store's answers are read, and malformed ones are turned away")
+{
+    const ConfigVersion version{Revision(7), "c7", "{\"services\": {}}", {"c6", "c7"}};
+    const std::optional<ConfigVersion> read = etcd::readConfig(etcd::renderConfig(version));
+    REQUIRE(read);
+    REQUIRE(read->revision == Revision(7));
+    REQUIRE(read->recentChanges == version.recentChanges);
+    const std::optional<etcd::Answer> answer = etcd::readAnswer(
+        R"({"result":{"header":{"revision":"9"},"events":[{"type":"DELETE","kv":{"key":"YQ==","mod_revision":"9"}},{"kv":{"key":"Yg==","value":"Yw==","mod_revision":"8"}}]}})");
+    REQUIRE(answer);
+    REQUIRE(answer->revision == 9);
+    REQUIRE(answer->kvs.size() == 2);
+    REQUIRE(answer->kvs[0].deleted);
+    REQUIRE(answer->kvs[1].value == "c");
+    for (const char *bad : {"", "[]", R"({"kvs": 3})", R"({"kvs": [{"key": "*"}]})", R"({"events": [3]})", R"({"error": "x"})"}) {
+        REQUIRE_FALSE(etcd::readAnswer(bad));
+    }
+    REQUIRE_FALSE(etcd::readConfig(R"({"revision": 0})"));
+    REQUIRE_FALSE(etcd::readConfig("7"));
+}
