A load tool, and a benchmark of added time and start rate

Cause: targets of the thin path were stated and not measured. Ruled out: timing in Python (its own jitter is of the size that is measured), closed-loop load (it hides waiting). A failed start of the local set stops what had started.

--- a/tools/backend_standin.cpp
+++ b/tools/backend_standin.cpp
@@ -19,6 +19,7 @@
 DEFINE_string(service, "pairing", "The service that is announced.");
 DEFINE_int32(slots, 8, "Slots of each backend server.");
 DEFINE_int32(connections, 64, "Connections of each backend server.");
+DEFINE_bool(report_time, false, "Append the time that a task took here, in microseconds, to its answer.");
 DEFINE_string(control, "127.0.0.1:0", "Where tests look at the starts and set faults.");
 
 namespace
@@ -180,13 +181,13 @@
     void answer(const std::shared_ptr<HttpExchange> &exchange, const std::string &echo, bool fails,
                 std::chrono::steady_clock::time_point started)
     {
-        m_log.slotMicros +=
-            static_cast<std::uint64_t>(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - started).count());
+        const Duration took = std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - started);
+        m_log.slotMicros += static_cast<std::uint64_t>(took.count());
         ++m_log.finished;
         HttpResponse response;
         response.status = fails ? 500 : 200;
         response.contentType = "text/plain";
-        response.body = echo;
+        response.body = FLAGS_report_time ? echo + " " + std::to_string(std::max<std::int64_t>(took.count(), 1)) : echo;
         exchange->respond(std::move(response));
     }
 
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -73,15 +73,23 @@
 class Cluster:
     """A store stand-in, some entries, and agents with backend stand-ins, one stand-in process for each service."""
 
-    def __init__(self, entries=3, services=None, slots=8, settings=None, store=True):
+    def __init__(self, entries=3, services=None, slots=8, settings=None, store=True, report_time=False):
         self.services = services or {"pairing": 11}
         self.settings = settings or {}
         self.slots = slots
+        self.report_time = report_time
         self.folder = tempfile.mkdtemp(prefix="cuminscale-")
         self.children = []
         self.numbers = 0
-        self.store = self.spawn(["python3", os.path.join(ROOT, "tools/store_standin.py")], "store") if store else None
         self.entries = []
+        try:
+            self.start_all(entries, store)
+        except BaseException:
+            self.stop()
+            raise
+
+    def start_all(self, entries, store):
+        self.store = self.spawn(["python3", os.path.join(ROOT, "tools/store_standin.py")], "store") if store else None
         for i in range(entries):
             self.entries.append(self.start_entry(i))
         self.agents = {name: [self.start_agent(i) for i in range(count)] for name, count in self.services.items()}
@@ -128,7 +136,8 @@
     def start_backends(self, service):
         doors = ",".join(agent.info["operator"] for agent in self.agents[service])
         command = [os.path.join(BUILD, "tools/cuminscale-backend-standin"), "--agents", doors, "--service", service]
-        return self.spawn(command + ["--slots", str(self.slots)], "backend-" + service)
+        command += ["--slots", str(self.slots)] + (["--report_time"] if self.report_time else [])
+        return self.spawn(command, "backend-" + service)
 
     def callers(self):
         return [entry.info["caller"] for entry in self.entries]
@@ -163,6 +172,15 @@
                 time.sleep(0.1)
         time.sleep(0.6)
 
+    def load(self, mix, name="mix"):
+        """Runs the load tool on a mix; returns its report."""
+        path = self.write_settings(name, mix)
+        command = [os.path.join(BUILD, "tools/cuminscale-load"), "--mix", path, "--entries", ",".join(self.callers()), "--json"]
+        done = subprocess.run(command, capture_output=True, text=True, timeout=600)
+        if done.returncode != 0:
+            raise RuntimeError(done.stderr)
+        return json.loads(done.stdout)
+
     def cli(self, *arguments):
         command = [os.path.join(BUILD, "src/cuminscale"), *arguments, "--caller", ",".join(self.callers())]
         command += ["--operator", ",".join(self.operators())]
--- /dev/null
+++ b/tools/load/runner.cpp
@@ -0,0 +1,226 @@
+#include "load/runner.h"
+
+#include "adapters/http_client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+#include <deque>
+
+namespace cuminscale::load
+{
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr std::size_t MaxConnections = 4000;
+constexpr std::size_t IdsAtOnce = 100;
+/// Answers may come this much after the deadline before the client gives up.
+constexpr Duration Patience = seconds(3);
+
+class Runner
+{
+public:
+    Runner(const Mix &mix, const std::vector<Arrival> &arrivals, const std::vector<Endpoint> &entries)
+        : m_mix(mix)
+        , m_arrivals(arrivals)
+        , m_entries(entries)
+        , m_context(1)
+        , m_client(m_context, MaxConnections)
+        , m_timer(m_context)
+    {
+        m_samples.resize(arrivals.size());
+    }
+
+    std::vector<Sample> run()
+    {
+        fetchIds();
+        m_start = std::chrono::steady_clock::now() + std::chrono::milliseconds(200);
+        sendDue();
+        m_context.run();
+        return std::move(m_samples);
+    }
+
+private:
+    const Endpoint &entryFor(std::size_t index) const
+    {
+        return m_entries[index % m_entries.size()];
+    }
+
+    void sendDue()
+    {
+        const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
+        while (m_next < m_arrivals.size() && m_start + m_arrivals[m_next].at <= now) {
+            send(m_next);
+            ++m_next;
+        }
+        if (m_next < m_arrivals.size()) {
+            m_timer.expires_at(m_start + m_arrivals[m_next].at);
+            m_timer.async_wait([this](boost::system::error_code) { sendDue(); });
+        }
+    }
+
+    /// Jobs need ids; a stock is kept ahead so that fetching them is not part of a response time.
+    void fetchIds()
+    {
+        if (m_fetching || m_ids.size() > IdsAtOnce / 2) {
+            return;
+        }
+        m_fetching = true;
+        HttpRequest request;
+        request.method = "POST";
+        request.target = "/v1/services/" + m_mix.service + "/ids?count=" + std::to_string(IdsAtOnce);
+        m_client.send(entryFor(m_fetches++), std::move(request), seconds(3), [this](HttpOutcome &&outcome) {
+            m_fetching = false;
+            json::error_code ec;
+            const json::value value = json::parse(outcome.response.body, ec);
+            if (!ec && value.is_object() && value.get_object().contains("ids")) {
+                for (const json::value &id : value.at("ids").as_array()) {
+                    m_ids.emplace_back(id.as_string());
+                }
+            }
+            std::deque<std::size_t> waiting;
+            waiting.swap(m_waitingForId);
+            for (const std::size_t index : waiting) {
+                sendJob(index);
+            }
+        });
+    }
+
+    static std::string payloadOf(const Arrival &arrival, std::size_t index, std::size_t task)
+    {
+        // The arrival and task are echoed, so that a crossed answer shows.
+        return json::serialize(
+            json::object{{"run_ms", arrival.runMs[task]}, {"echo", std::to_string(index) + "." + std::to_string(task)}});
+    }
+
+    void send(std::size_t index)
+    {
+        const Arrival &arrival = m_arrivals[index];
+        const Stream &stream = m_mix.streams[arrival.stream];
+        Sample &sample = m_samples[index];
+        sample.stream = arrival.stream;
+        sample.tasks = static_cast<std::uint32_t>(arrival.runMs.size());
+        sample.ideal = arrival.ideal(m_mix.slots, stream.claimable);
+        sample.warmup = arrival.at < Duration(static_cast<std::int64_t>(m_mix.warmupS * 1e6));
+        if (stream.mostTasks > 1) {
+            sendJob(index);
+            return;
+        }
+        json::object body = common(stream);
+        body["payload"] = payloadOf(arrival, index, 0);
+        body["run_ms"] = arrival.declaredMs[0];
+        HttpRequest request;
+        request.method = "POST";
+        request.target = "/v1/services/" + m_mix.service + "/requests";
+        request.body = json::serialize(body);
+        submit(index, std::move(request));
+    }
+
+    void sendJob(std::size_t index)
+    {
+        fetchIds();
+        if (m_ids.empty()) {
+            m_waitingForId.push_back(index);
+            return;
+        }
+        const Arrival &arrival = m_arrivals[index];
+        json::object body = common(m_mix.streams[arrival.stream]);
+        json::array tasks;
+        for (std::size_t i = 0; i < arrival.runMs.size(); ++i) {
+            tasks.push_back(json::object{{"payload", payloadOf(arrival, index, i)}, {"run_ms", arrival.declaredMs[i]}});
+        }
+        body["tasks"] = std::move(tasks);
+        HttpRequest request;
+        request.method = "PUT";
+        request.target = "/v1/services/" + m_mix.service + "/jobs/" + m_ids.front();
+        request.body = json::serialize(body);
+        m_ids.pop_front();
+        submit(index, std::move(request));
+    }
+
+    static json::object common(const Stream &stream)
+    {
+        return json::object{{"member", stream.member},
+                            {"kind", stream.kind},
+                            {"deadline_ms", stream.deadlineMs},
+                            {"repeatable", stream.repeatable}};
+    }
+
+    void submit(std::size_t index, HttpRequest &&request)
+    {
+        const std::chrono::steady_clock::time_point sent = std::chrono::steady_clock::now();
+        const Stream &stream = m_mix.streams[m_arrivals[index].stream];
+        const Duration timeout = milliseconds(stream.deadlineMs) + Patience;
+        m_client.send(entryFor(index), std::move(request), timeout,
+                      [this, index, sent](HttpOutcome &&outcome) { take(index, std::move(outcome), sent); });
+    }
+
+    void take(std::size_t index, HttpOutcome &&outcome, std::chrono::steady_clock::time_point sent)
+    {
+        Sample &sample = m_samples[index];
+        sample.response = std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - sent);
+        if (outcome.end != HttpEnd::Answered) {
+            sample.end = outcome.end == HttpEnd::NotSent ? End::NotRun : End::Unknown;
+            return;
+        }
+        if (outcome.response.status == 200) {
+            sample.end = isOwnWholeAnswer(index, outcome.response.body, sample) ? End::Complete : End::Wrong;
+            return;
+        }
+        const std::string what = outcome.response.header("Cuminscale-Outcome");
+        sample.end = what == "not-run" ? End::NotRun : what == "ran" ? End::Failed : End::Unknown;
+    }
+
+    bool isOwnWholeAnswer(std::size_t index, const std::string &body, Sample &sample) const
+    {
+        json::error_code ec;
+        const json::value value = json::parse(body, ec);
+        if (ec || !value.is_object() || !value.get_object().contains("results")) {
+            return false;
+        }
+        const json::array &results = value.at("results").as_array();
+        if (results.size() != sample.tasks) {
+            return false;
+        }
+        for (std::size_t i = 0; i < results.size(); ++i) {
+            // The backend stand-in appends its own time behind the echo.
+            const std::string text(results[i].at("body").as_string());
+            const std::string echo = std::to_string(index) + "." + std::to_string(i) + " ";
+            if (text.rfind(echo, 0) != 0) {
+                return false;
+            }
+            if (results.size() == 1) {
+                sample.backend = Duration(std::stoll(text.substr(echo.size())));
+            }
+        }
+        return true;
+    }
+
+    const Mix &m_mix;
+    const std::vector<Arrival> &m_arrivals;
+    const std::vector<Endpoint> &m_entries;
+    asio::io_context m_context;
+    HttpClient m_client;
+    asio::steady_timer m_timer;
+    std::chrono::steady_clock::time_point m_start;
+    std::vector<Sample> m_samples;
+    std::size_t m_next = 0;
+    std::deque<std::string> m_ids;
+    std::deque<std::size_t> m_waitingForId;
+    std::size_t m_fetches = 0;
+    bool m_fetching = false;
+};
+
+} // namespace
+
+std::vector<Sample> runArrivals(const Mix &mix, const std::vector<Arrival> &arrivals, const std::vector<Endpoint> &entries)
+{
+    return Runner(mix, arrivals, entries).run();
+}
+
+} // namespace cuminscale::load
