Randomised protocol runs, and the five faults that they found

Cause: the promises were carried by construction and had not been tried under loss, copies, late and crossed messages, pauses, kills, cuts and backend faults together. tests/world drives real cores in virtual time from one seed and checks every start and answer. Now the entry has the coordinator bar the id (Submit.refuse_with), or says 'unknown'. 2. Now the sender echoes a time of the receiver's own clock; the age derived from it is never too small, and without an echo the coordinator asks for the submission again. 3. An agent claimed from its own coordinator without end once a job's deadline had passed: an empty grant still named waiting tasks. 5. Also: a task refused by an unreachable backend server could trip the agent's own start-once invariant when granted again. Ruled out: message order as the cause of 3 (the trace shows one accepted copy and a second id).

--- a/src/adapters/caller_api.cpp
+++ b/src/adapters/caller_api.cpp
@@ -290,7 +290,7 @@
     case JobState::Failed:
         return job.outcomeUnknown ? 504 : 502;
     case JobState::Refused:
-        return 503;
+        return std::holds_alternative<NotRun>(reply.outcome) ? 503 : 504;
     case JobState::Conflict:
         return 409;
     case JobState::Expired:
--- a/src/adapters/peer_codec.cpp
+++ b/src/adapters/peer_codec.cpp
@@ -186,6 +186,7 @@
         put(m.id, to->mutable_id());
         put(*m.spec, to->mutable_spec());
         to->set_budget_us(m.budget.count());
+        to->set_refuse_with(m.refuseWith);
         if (m.trace.sampled) {
             put(m.trace, to->mutable_trace());
         }
@@ -337,6 +338,7 @@
     m.id = get(from.id());
     m.spec = get(from.spec());
     m.budget = Duration(from.budget_us());
+    m.refuseWith = from.refuse_with();
     if (from.has_trace()) {
         m.trace = get(from.trace());
     }
@@ -475,6 +477,11 @@
     put(envelope.from, out.mutable_from());
     out.set_to(envelope.to.value());
     out.set_sent_at_us(envelope.sentAt.time_since_epoch().count());
+    if (envelope.echo) {
+        out.set_has_echo(true);
+        out.set_echo_sent_at_us(envelope.echo->theirSentAt.time_since_epoch().count());
+        out.set_echo_held_us(envelope.echo->held.count());
+    }
     std::visit(Writer{out}, envelope.message);
     return out.SerializeAsString();
 }
@@ -490,6 +497,9 @@
     envelope.from = get(in.from());
     envelope.to = Incarnation(in.to());
     envelope.sentAt = TimePoint(Duration(in.sent_at_us()));
+    if (in.has_echo()) {
+        envelope.echo = Echo{TimePoint(Duration(in.echo_sent_at_us())), Duration(in.echo_held_us())};
+    }
     if (envelope.from.incarnation == Incarnation() || envelope.from.endpoint.port == 0) {
         return std::nullopt;
     }
--- a/src/adapters/zmq_peers.cpp
+++ b/src/adapters/zmq_peers.cpp
@@ -120,10 +120,11 @@
 
     void send(effect::SendPeer &&effect)
     {
-        Envelope envelope{m_self, effect.to.incarnation, m_clock(), std::move(effect.message)};
+        const Endpoint endpoint = effect.to.endpoint;
+        const Envelope envelope = std::move(effect).seal(m_self, m_clock());
         const std::string bytes = encodeEnvelope(envelope);
         count(isControl(envelope.message) ? m_traffic.controlSent : m_traffic.workSent, bytes.size());
-        dealerFor(effect.to.endpoint).send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+        dealerFor(endpoint).send(zmq::buffer(bytes), zmq::send_flags::dontwait);
     }
 
     void forget(const Endpoint &endpoint)
--- a/src/core/agent_core.cpp
+++ b/src/core/agent_core.cpp
@@ -30,6 +30,7 @@
 
 void AgentCore::handle(TimePoint now, Event &&event, Effects &effects)
 {
+    const std::size_t first = effects.size();
     Step step(now, m_settings, m_counters, m_random, effects);
     m_coordinator.setFreeSlots(m_executor.spareSlots(now));
     if (event::PeerArrived *arrived = std::get_if<event::PeerArrived>(&event)) {
@@ -46,6 +47,7 @@
         onShutdown(step);
     }
     finishStep(step);
+    m_peers.addEchoes(effects, first);
 }
 
 void AgentCore::finishStep(Step &step)
@@ -80,14 +82,14 @@
     dispatch(step, envelope.from, std::move(envelope.message), hearing.age);
 }
 
-void AgentCore::dispatch(Step &step, const ProcessId &from, Message &&message, Duration age)
+void AgentCore::dispatch(Step &step, const ProcessId &from, Message &&message, std::optional<Duration> age)
 {
     struct Visitor
     {
         AgentCore &core;
         Step &step;
         const ProcessId &from;
-        Duration age;
+        std::optional<Duration> age;
 
         void operator()(const msg::Heartbeat &) const { }
         void operator()(const msg::HeartbeatReply &m) const
--- a/src/core/agent_core.h
+++ b/src/core/agent_core.h
@@ -19,7 +19,7 @@
 
 private:
     void onPeer(Step &step, Envelope &&envelope);
-    void dispatch(Step &step, const ProcessId &from, Message &&message, Duration age);
+    void dispatch(Step &step, const ProcessId &from, Message &&message, std::optional<Duration> age);
     void onHeartbeatReply(Step &step, const ProcessId &from, const msg::HeartbeatReply &reply);
     void onConfigPush(Step &step, const ProcessId &from, const msg::ConfigPush &push);
     void onProcessEnded(Step &step, const ProcessId &ended);
--- a/src/core/coordinator.cpp
+++ b/src/core/coordinator.cpp
@@ -100,7 +100,8 @@
     return progress;
 }
 
-void Coordinator::onSubmit(Step &step, const ProcessId &from, const msg::Submit &submit, Duration age, const PeerTable &peers)
+void Coordinator::onSubmit(Step &step, const ProcessId &from, const msg::Submit &submit, std::optional<Duration> age,
+                           const PeerTable &peers)
 {
     const auto it = m_records.find(submit.id.sequence);
     if (it != m_records.end()) {
@@ -121,7 +122,15 @@
     if (replyIfForgotten(step, from, submit.id)) {
         return;
     }
-    const Duration budget = submit.budget - age;
+    if (!submit.refuseWith.empty()) {
+        bar(step, from, submit.id, submit.refuseWith, Duration::zero(), submit.spec->digest);
+        return;
+    }
+    if (!age) {
+        replyState(step, from, submit.id, JobState::NotKnown, "The age of the submission can't be told.");
+        return;
+    }
+    const Duration budget = submit.budget - *age;
     if (m_leaving) {
         bar(step, from, submit.id, "The coordinator is shutting down.", RefusedRetryAfter, submit.spec->digest);
         return;
@@ -297,6 +306,8 @@
     grant.budget = job.deadline - step.now();
     grant.trace = childOf(job.trace, job.spanId);
     if (grant.tasks.empty()) {
+        // With nothing to grant the offer is void, also when tasks wait that may not be granted any more.
+        grant.waiting = 0;
         step.count(Counter::EmptyGrants);
     }
     step.send(from, std::move(grant));
--- a/src/core/coordinator.h
+++ b/src/core/coordinator.h
@@ -25,8 +25,10 @@
     /// Hands a range of fresh ids to an entry.
     void onMint(Step &step, const ProcessId &from, const msg::Mint &mint);
 
-    /// Accepts, joins or refuses a submission. `age` is how long the message was under way beyond the usual.
-    void onSubmit(Step &step, const ProcessId &from, const msg::Submit &submit, Duration age, const PeerTable &peers);
+    /// Accepts, joins or refuses a submission. `age` is the most that the message can have been under way; without it the
+    /// deadline can't be told, and the entry is asked to send again.
+    void onSubmit(Step &step, const ProcessId &from, const msg::Submit &submit, std::optional<Duration> age,
+                  const PeerTable &peers);
 
     /// Tells an entry how a submission stands, and its end once it comes.
     void onAwait(Step &step, const ProcessId &from, const msg::Await &await);
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -31,6 +31,7 @@
 
 void EntryCore::handle(TimePoint now, Event &&event, Effects &effects)
 {
+    const std::size_t first = effects.size();
     Step step(now, m_settings, m_counters, m_random, effects);
     if (event::PeerArrived *arrived = std::get_if<event::PeerArrived>(&event)) {
         onPeer(step, std::move(arrived->envelope));
@@ -54,6 +55,7 @@
         m_leavingSince = now;
         step.log(LogLevel::Info, Part, "Shutting down: the balancer is told that this entry is not ready.");
     }
+    m_peers.addEchoes(effects, first);
 }
 
 void EntryCore::onPeer(Step &step, Envelope &&envelope)
@@ -171,22 +173,29 @@
 void EntryCore::submit(Step &step, CallerTag tag, const JobSpec &spec, Duration declared, const CallerCall &call)
 {
     Duration deadline = declared > Duration::zero() ? declared : DefaultDeadline;
+    const auto turnAway = [&](CallerReply::Kind kind, const std::string &reason) {
+        if (const call::SubmitJob *job = std::get_if<call::SubmitJob>(&call)) {
+            m_calls.refuseJob(step, tag, *job, reason);
+        } else {
+            refuse(step, tag, kind, reason);
+        }
+    };
     // Before any configuration is known, as when the store is down at the first start, work goes to whoever announced itself.
     if (m_config.revision() != Revision()) {
         const std::map<std::string, ServiceRule> &services = m_config.document().services;
         const auto service = services.find(spec.service);
         if (service == services.end()) {
-            refuse(step, tag, CallerReply::Kind::NotFound, "There is no service named '" + spec.service + "'.");
+            turnAway(CallerReply::Kind::NotFound, "There is no service named '" + spec.service + "'.");
             return;
         }
         const ServiceRule &rule = service->second;
         if (!rule.members.empty() && rule.members.count(spec.member) == 0) {
-            refuse(step, tag, CallerReply::Kind::BadRequest, "The service has no member named '" + spec.member + "'.");
+            turnAway(CallerReply::Kind::BadRequest, "The service has no member named '" + spec.member + "'.");
             return;
         }
         const auto kind = rule.kinds.find(spec.kind);
         if (!rule.kinds.empty() && kind == rule.kinds.end()) {
-            refuse(step, tag, CallerReply::Kind::BadRequest, "The service has no kind of work named '" + spec.kind + "'.");
+            turnAway(CallerReply::Kind::BadRequest, "The service has no kind of work named '" + spec.kind + "'.");
             return;
         }
         if (declared == Duration::zero() && kind != rule.kinds.end() && kind->second.deadline > Duration::zero()) {
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -192,8 +192,26 @@
 /// Send a message. A zero incarnation means whichever process is at the address.
 struct SendPeer
 {
+    /// A time that the receiver has sent, and when it came in here; the adapter makes an Echo of it.
+    struct Heard
+    {
+        TimePoint theirSentAt;
+        TimePoint receivedAt;
+    };
+
     ProcessId to;
     Message message;
+    std::optional<Heard> heard;
+
+    /// The envelope as it leaves at the given time.
+    Envelope seal(const ProcessId &from, TimePoint now) &&
+    {
+        std::optional<Echo> echo;
+        if (heard) {
+            echo = Echo{heard->theirSentAt, now - heard->receivedAt};
+        }
+        return Envelope{from, to.incarnation, now, echo, std::move(message)};
+    }
 };
 
 /// Drop the outgoing connection to a silent peer and open a new one.
--- a/src/core/executor.cpp
+++ b/src/core/executor.cpp
@@ -231,6 +231,8 @@
         return;
     }
     if (finished.result.status == TaskStatus::NotStarted) {
+        // The backend server was never asked, so the task may be granted anew, to this agent as well.
+        m_startedTasks.erase({ref.job, ref.index});
         m_unreachableUntil = step.now() + UnreachableFor;
     }
     entry.ended = true;
@@ -304,7 +306,8 @@
 
 Executor::Ledger::iterator Executor::eraseEntry(Ledger::iterator it)
 {
-    if (it->second.run != RunId()) {
+    const bool started = it->second.run != RunId() && !(it->second.ended && it->second.result.status == TaskStatus::NotStarted);
+    if (started) {
         m_startedTasks.erase({it->first.job, it->first.index});
     }
     return m_ledger.erase(it);
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -160,6 +161,9 @@
     std::shared_ptr<const JobSpec> spec;
     Duration budget{0};
     TraceContext trace;
+    /// When not empty, the id is to be barred with this reason unless it has been submitted before. An entry that will not
+    /// pass a job on can say "not run" only this way, as the same job may have come through another entry.
+    std::string refuseWith;
 };
 
 /// Asks for the state of a submission, without its body.
@@ -290,12 +294,21 @@
                              msg::Await, msg::Cancel, msg::JobReply, msg::Offer, msg::Withdraw, msg::Claim, msg::Grant,
                              msg::Results, msg::ResultsAck, msg::Query, msg::QueryReply, msg::CancelClaim, msg::Gone>;
 
+/// A time of sending that the sender of a message has read in an earlier message of the receiver's. The receiver, whose own
+/// clock it is, learns from it how old the message can be at most, whatever either clock shows.
+struct Echo
+{
+    TimePoint theirSentAt; ///< On the receiver's clock.
+    Duration held{0}; ///< How long ago that message came in, when this one was sent.
+};
+
 /// A message with its sender, the incarnation it is meant for, and the sender's time of sending.
 struct Envelope
 {
     ProcessId from;
     Incarnation to;
     TimePoint sentAt;
+    std::optional<Echo> echo;
     Message message;
 };
 
--- a/src/core/peer_table.cpp
+++ b/src/core/peer_table.cpp
@@ -8,8 +8,14 @@
 namespace
 {
 
-/// Clocks of two machines drift apart by less than one part in this many.
-constexpr std::int64_t DriftDivisor = 5000;
+/// Clocks drift apart, so a quick message is good for two of these periods only.
+constexpr Duration EchoPeriod = seconds(10);
+
+/// Whether the first message was under way for less time than the second; the clocks' difference cancels out.
+bool isQuicker(const effect::SendPeer::Heard &first, const effect::SendPeer::Heard &second)
+{
+    return first.receivedAt - first.theirSentAt < second.receivedAt - second.theirSentAt;
+}
 
 } // namespace
 
@@ -31,22 +37,46 @@
     }
     peer.lastHeard = now;
     hearing.accepted = true;
-    hearing.age = ageOf(now, envelope);
+    if (envelope.echo) {
+        hearing.age = std::max(Duration::zero(), now - envelope.echo->theirSentAt - envelope.echo->held);
+    }
+    noteTime(now, envelope);
     return hearing;
 }
 
-Duration PeerTable::ageOf(TimePoint now, const Envelope &envelope)
+void PeerTable::noteTime(TimePoint now, const Envelope &envelope)
+{
+    const effect::SendPeer::Heard heard{envelope.sentAt, now};
+    Quickest &quickest = m_quickest[envelope.from.endpoint];
+    if (quickest.incarnation != envelope.from.incarnation) {
+        quickest = Quickest{envelope.from.incarnation, heard, heard, now};
+        return;
+    }
+    if (now - quickest.periodBegan > EchoPeriod) {
+        quickest.previous = quickest.current;
+        quickest.current = heard;
+        quickest.periodBegan = now;
+    } else if (isQuicker(heard, quickest.current)) {
+        quickest.current = heard;
+    }
+}
+
+std::optional<effect::SendPeer::Heard> PeerTable::heardFrom(const ProcessId &peer) const
+{
+    const auto it = m_quickest.find(peer.endpoint);
+    if (it == m_quickest.end() || it->second.incarnation != peer.incarnation) {
+        return std::nullopt;
+    }
+    return isQuicker(it->second.previous, it->second.current) ? it->second.previous : it->second.current;
+}
+
+void PeerTable::addEchoes(Effects &effects, std::size_t first) const
 {
-    const Duration difference = now - envelope.sentAt;
-    Offset &offset = m_offsets[envelope.from.endpoint];
-    if (offset.incarnation != envelope.from.incarnation) {
-        offset = Offset{envelope.from.incarnation, difference, now};
-        return Duration::zero();
+    for (std::size_t i = first; i < effects.size(); ++i) {
+        if (effect::SendPeer *message = std::get_if<effect::SendPeer>(&effects[i])) {
+            message->heard = heardFrom(message->to);
+        }
     }
-    const Duration drift = (now - offset.updated) / DriftDivisor;
-    offset.smallest = std::min(difference, offset.smallest + drift);
-    offset.updated = now;
-    return difference - offset.smallest;
 }
 
 void PeerTable::report(const ProcessId &from, const AgentBrief &brief, bool isEntry)
@@ -142,7 +172,7 @@
     for (auto it = m_peers.begin(); it != m_peers.end();) {
         if (now - it->second.lastHeard > silence) {
             result.push_back(it->second.id);
-            m_offsets.erase(it->first);
+            m_quickest.erase(it->first);
             it = m_peers.erase(it);
         } else {
             ++it;
--- a/src/core/peer_table.h
+++ b/src/core/peer_table.h
@@ -25,17 +25,23 @@
 class PeerTable
 {
 public:
-    /// Whether a message is to be handled, how old it is, and which earlier life it has shown to be over.
+    /// Whether a message is to be handled, how old it can be at most, and which earlier life it has shown to be over.
     struct Hearing
     {
         bool accepted = false;
-        Duration age{0};
+        std::optional<Duration> age; ///< Nothing when the sender has not heard from this process yet.
         std::optional<ProcessId> ended;
     };
 
     /// Notes that a message has come in.
     Hearing heard(TimePoint now, const Envelope &envelope);
 
+    /// What an answer to the peer may echo; nothing when this life of it was never heard.
+    std::optional<effect::SendPeer::Heard> heardFrom(const ProcessId &peer) const;
+
+    /// Adds to messages that are about to leave what their receivers may tell their age by.
+    void addEchoes(Effects &effects, std::size_t first) const;
+
     /// Records a peer's own report.
     void report(const ProcessId &from, const AgentBrief &brief, bool isEntry);
 
@@ -67,19 +73,20 @@
     std::vector<Endpoint> dueForReplacement(TimePoint now, Duration silence);
 
 private:
-    /// Smallest difference between arrival and sending seen from one incarnation. What a message shows above it is the
-    /// time it has waited somewhere; the two clocks need not agree.
-    struct Offset
+    /// The quickest message of one life of a peer, of the last two periods. The quicker it was, the closer is the age that
+    /// the peer derives from its echo to the true one; it never falls below it.
+    struct Quickest
     {
         Incarnation incarnation;
-        Duration smallest{0};
-        TimePoint updated;
+        effect::SendPeer::Heard current;
+        effect::SendPeer::Heard previous;
+        TimePoint periodBegan;
     };
 
-    Duration ageOf(TimePoint now, const Envelope &envelope);
+    void noteTime(TimePoint now, const Envelope &envelope);
 
     std::map<Endpoint, Peer> m_peers;
-    std::unordered_map<Endpoint, Offset, IdHash> m_offsets;
+    std::unordered_map<Endpoint, Quickest, IdHash> m_quickest;
 };
 
 } // namespace cuminscale
--- a/src/core/pending_calls.cpp
+++ b/src/core/pending_calls.cpp
@@ -25,6 +25,22 @@
 /// With a wait, a question is held this long.
 constexpr Duration LongQueryDeadline = seconds(60);
 
+/// The answer when no coordinator has spoken.
+CallerReply unknownReply(const SubmissionId &id, std::string reason)
+{
+    CallerReply answer;
+    answer.kind = CallerReply::Kind::Job;
+    answer.undecided = true;
+    answer.text = reason;
+    answer.job = msg::JobReply();
+    answer.job->id = id;
+    answer.job->state = JobState::Failed;
+    answer.job->outcomeUnknown = true;
+    answer.job->reason = reason;
+    answer.outcome = Unknown{std::move(reason)};
+    return answer;
+}
+
 } // namespace
 
 PendingCalls::PendingCalls(const CoreSettings &settings, Policies &policies, PeerTable &peers)
@@ -96,11 +112,8 @@
     return true;
 }
 
-void PendingCalls::submitJob(Step &step, CallerTag tag, const call::SubmitJob &call, Duration deadline)
+PendingCalls::Call PendingCalls::newJob(Step &step, const call::SubmitJob &call, Duration deadline) const
 {
-    if (full(step, tag)) {
-        return;
-    }
     Call pending;
     pending.kind = Kind::Job;
     pending.id = call.id;
@@ -112,9 +125,36 @@
     pending.deadline = step.now() + deadline;
     pending.spanId = step.drawId();
     pending.trace = call.spec->trace;
+    return pending;
+}
+
+void PendingCalls::submitJob(Step &step, CallerTag tag, const call::SubmitJob &call, Duration deadline)
+{
+    if (m_calls.size() >= m_settings.limits.maxPendingCalls) {
+        answerBusy(step, tag, call.id);
+        return;
+    }
+    sendSubmit(step, add(tag, newJob(step, call, deadline)));
+}
+
+void PendingCalls::refuseJob(Step &step, CallerTag tag, const call::SubmitJob &call, std::string reason)
+{
+    if (m_calls.size() >= m_settings.limits.maxPendingCalls) {
+        answerBusy(step, tag, call.id);
+        return;
+    }
+    Call pending = newJob(step, call, QueryDeadline);
+    pending.refuseWith = std::move(reason);
     sendSubmit(step, add(tag, std::move(pending)));
 }
 
+void PendingCalls::answerBusy(Step &step, CallerTag tag, const SubmissionId &id)
+{
+    // The same job may have come through another entry, so this one can't speak for it.
+    step.count(Counter::CallsRefused);
+    step.add(effect::ReplyCaller{tag, unknownReply(id, "This entry has as many callers waiting as it may hold.")});
+}
+
 void PendingCalls::submitRequest(Step &step, CallerTag tag, const call::SubmitRequest &call, Duration deadline)
 {
     if (full(step, tag)) {
@@ -156,7 +196,8 @@
     ++call.bodiesSent;
     call.lastSent = step.now();
     call.resendAfter = std::max(call.resendAfter, m_settings.timing.resendAfter);
-    step.send(call.id.coordinator, msg::Submit{call.id, call.spec, call.deadline - step.now(), childOf(call.trace, call.spanId)});
+    step.send(call.id.coordinator,
+              msg::Submit{call.id, call.spec, call.deadline - step.now(), childOf(call.trace, call.spanId), call.refuseWith});
 }
 
 void PendingCalls::queryJob(Step &step, CallerTag tag, const call::QueryJob &call)
@@ -261,7 +302,8 @@
         return;
     case JobState::Refused:
         if (!retry(step, tag, call, reply)) {
-            answerJob(step, tag, reply, Refusal::barred(reply));
+            // The last attempt was never started; an earlier one under another id may have been.
+            answerJob(step, tag, reply, call.mayHaveRun ? Outcome(Unknown{reply.reason}) : Outcome(Refusal::barred(reply)));
         }
         return;
     case JobState::Conflict:
@@ -280,11 +322,14 @@
 bool PendingCalls::finalRefusal(const Call &call, const msg::JobReply &reply) const
 {
     // A conflicting body is never run under the id, whatever its other copies meet: the id belongs to another body.
+    if (call.mayHaveRun) {
+        return false;
+    }
     if (reply.state == JobState::Conflict) {
         return call.kind == Kind::Job;
     }
     // The id of a single request was drawn here, so nobody else can have sent a copy that ran and was forgotten.
-    return call.kind == Kind::Request && call.bodiesSent == 1;
+    return reply.state == JobState::Expired && call.kind == Kind::Request && call.bodiesSent == 1;
 }
 
 bool PendingCalls::retry(Step &step, CallerTag tag, Call &call, const msg::JobReply &reply)
@@ -300,6 +345,7 @@
         return false;
     }
     step.count(Counter::RequestRetries);
+    call.mayHaveRun = call.mayHaveRun || !neverRan;
     unlink(call.id, tag);
     const ProcessId avoid = call.id.coordinator;
     call.id = SubmissionId();
@@ -322,18 +368,7 @@
 {
     step.count(Counter::CallsUnknown);
     const Call &call = m_calls.at(tag);
-    msg::JobReply reply;
-    reply.id = call.id;
-    reply.state = JobState::Failed;
-    reply.outcomeUnknown = true;
-    reply.reason = reason;
-    CallerReply answer;
-    answer.kind = CallerReply::Kind::Job;
-    answer.undecided = true;
-    answer.text = reason;
-    answer.job = std::move(reply);
-    answer.outcome = Unknown{std::move(reason)};
-    finish(step, tag, std::move(answer));
+    finish(step, tag, unknownReply(call.id, std::move(reason)));
 }
 
 void PendingCalls::finish(Step &step, CallerTag tag, CallerReply reply)
--- a/src/core/pending_calls.h
+++ b/src/core/pending_calls.h
@@ -21,6 +21,8 @@
 
     void mintIds(Step &step, CallerTag tag, const call::MintIds &call);
     void submitJob(Step &step, CallerTag tag, const call::SubmitJob &call, Duration deadline);
+    /// Has an id barred that this entry will not pass on, unless it has been submitted before.
+    void refuseJob(Step &step, CallerTag tag, const call::SubmitJob &call, std::string reason);
     void submitRequest(Step &step, CallerTag tag, const call::SubmitRequest &call, Duration deadline);
     void queryJob(Step &step, CallerTag tag, const call::QueryJob &call);
     void cancelJob(Step &step, CallerTag tag, const call::CancelJob &call);
@@ -64,6 +66,8 @@
         TimePoint lastSent;
         Duration resendAfter{0};
         std::uint32_t bodiesSent = 0; ///< Copies of the submission sent under the current id.
+        std::string refuseWith;
+        bool mayHaveRun = false; ///< An earlier attempt under another id has run or may have.
         std::uint32_t attempts = 0; ///< Ids used for a single request.
         TraceContext trace;
         std::uint64_t spanId = 0;
@@ -73,6 +77,7 @@
 
     Call &add(CallerTag tag, Call call);
     bool full(Step &step, CallerTag tag);
+    Call newJob(Step &step, const call::SubmitJob &call, Duration deadline) const;
     void sendSubmit(Step &step, Call &call);
     void sendFirstAttempt(Step &step, CallerTag tag, Call &call, const ProcessId &avoid);
     bool tryToGiveIds(Step &step, CallerTag tag, Call &call);
@@ -81,6 +86,7 @@
     bool retry(Step &step, CallerTag tag, Call &call, const msg::JobReply &reply);
     bool finalRefusal(const Call &call, const msg::JobReply &reply) const;
     void answerJob(Step &step, CallerTag tag, const msg::JobReply &reply, Outcome outcome);
+    void answerBusy(Step &step, CallerTag tag, const SubmissionId &id);
     void answerUnknown(Step &step, CallerTag tag, std::string reason);
     void refuse(Step &step, CallerTag tag, CallerReply::Kind kind, std::string reason);
     void finish(Step &step, CallerTag tag, CallerReply reply);
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -22,7 +22,6 @@
     Duration queryAfter = seconds(1); ///< A grant without news for this long is asked about.
     Duration offerAgainEvery = milliseconds(150); ///< Waiting tasks are offered to further agents.
     Duration rememberAnswers = seconds(600); ///< Ended submissions answer resubmissions for this long.
-    Duration staleAfterGap = milliseconds(800); ///< A message this much older than its quickest kin is late.
 };
 
 /// Bounds on what one process holds.
--- a/src/core/step.cpp
+++ b/src/core/step.cpp
@@ -23,10 +23,10 @@
 void Step::deliver(const ProcessId &to, Message message)
 {
     if (to == self()) {
-        m_loopback.push_back(Envelope{self(), self().incarnation, m_now, std::move(message)});
+        m_loopback.push_back(Envelope{self(), self().incarnation, m_now, std::nullopt, std::move(message)});
         return;
     }
-    m_effects.push_back(effect::SendPeer{to, std::move(message)});
+    m_effects.push_back(effect::SendPeer{to, std::move(message), std::nullopt});
 }
 
 std::optional<Envelope> Step::takeLoopback()
--- a/tests/peer_codec_tests.cpp
+++ b/tests/peer_codec_tests.cpp
@@ -32,7 +32,7 @@
         msg::ConfigPush{Revision(1), "c", "{}"},
         msg::Mint{3},
         msg::Minted{Sequence(4), 3},
-        msg::Submit{Job, spec, milliseconds(9), trace},
+        msg::Submit{Job, spec, milliseconds(9), trace, "no"},
         msg::Await{Job},
         msg::Cancel{Job, "m"},
         msg::JobReply{Job, JobState::Complete, "r", Duration(1), true, 1, 1, {result}, {span}, 3},
@@ -51,7 +51,8 @@
 
 std::string encode(const Message &message)
 {
-    return encodeEnvelope(Envelope{Me, Incarnation(6), TimePoint(Duration(77)), message});
+    return encodeEnvelope(
+        Envelope{Me, Incarnation(6), TimePoint(Duration(77)), Echo{TimePoint(Duration(78)), Duration(79)}, message});
 }
 
 } // namespace
@@ -67,6 +68,8 @@
         REQUIRE(decoded->from == Me);
         REQUIRE(decoded->to == Incarnation(6));
         REQUIRE(decoded->sentAt == TimePoint(Duration(77)));
+        REQUIRE(decoded->echo->theirSentAt == TimePoint(Duration(78)));
+        REQUIRE(decoded->echo->held == Duration(79));
         REQUIRE(decoded->message.index() == message.index());
         // The wire form is canonical here, so equal bytes mean equal fields.
         REQUIRE(encode(decoded->message) == encode(message));
@@ -96,7 +99,7 @@
 
 TEST_CASE("another version, an empty job and a torn answer are turned away")
 {
-    Message empty = msg::Submit{Job, std::make_shared<JobSpec>(), milliseconds(1), {}};
+    Message empty = msg::Submit{Job, std::make_shared<JobSpec>(), milliseconds(1), {}, ""};
     REQUIRE_FALSE(decodeEnvelope(encode(empty)));
     const Message torn = msg::JobReply{Job, JobState::Complete, "", Duration(0), false, 2, 2, {TaskResult()}, {}, 0};
     REQUIRE_FALSE(decodeEnvelope(encode(torn)));
--- /dev/null
+++ b/tests/world.cpp
@@ -0,0 +1,427 @@
+#include "world.h"
+
+#include <utility>
+
+namespace cuminscale::test
+{
+
+namespace
+{
+
+constexpr Duration TickEvery = milliseconds(20);
+constexpr Duration AnnounceEvery = milliseconds(400);
+constexpr Duration AnnounceValid = milliseconds(1500);
+constexpr std::uint32_t Slots = 3;
+constexpr const char *Document = R"({"services": {"s": {}}})";
+/// A deadline is kept to within the quickest message and the clocks' drift.
+constexpr Duration DeadlineSlack = milliseconds(60);
+
+} // namespace
+
+World::World(std::uint64_t seed, int entries, int agents, const Faults &faults)
+    : m_faults(faults)
+    , m_random(seed)
+    , m_entryCount(entries)
+{
+    if (uniform() < 0.5) {
+        // Grants are asked about long before their claims lapse, so that only the bar keeps a late one from starting.
+        m_settings.timing.queryAfter = milliseconds(100);
+        m_settings.timing.claimValid = seconds(5);
+        m_settings.timing.goneAfter = seconds(2);
+    }
+    m_nodes.resize(static_cast<std::size_t>(entries + agents));
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        Node &node = m_nodes[i];
+        node.isEntry = static_cast<int>(i) < entries;
+        node.id.endpoint = Endpoint{0x0a000001 + static_cast<std::uint32_t>(i), 7000};
+        node.clockOffset = upTo(seconds(500));
+        m_byEndpoint[node.id.endpoint] = i;
+        if (node.isEntry) {
+            m_settings.seeds.push_back(node.id.endpoint);
+        }
+        boot(i);
+    }
+}
+
+double World::uniform()
+{
+    return std::uniform_real_distribution<double>(0, 1)(m_random);
+}
+
+std::size_t World::below(std::size_t n)
+{
+    return static_cast<std::size_t>(m_random() % n);
+}
+
+Duration World::upTo(Duration most)
+{
+    return Duration(static_cast<std::int64_t>(below(static_cast<std::size_t>(most.count()) + 1)));
+}
+
+void World::complain(const std::string &what)
+{
+    m_broken.push_back("at " + std::to_string((m_now - TimePoint(seconds(1000))).count()) + " us: " + what);
+}
+
+void World::at(TimePoint when, Action action)
+{
+    m_queue.emplace(Scheduled{when, m_order++}, std::move(action));
+}
+
+void World::every(Duration period, const std::function<void()> &action)
+{
+    at(m_now + period, [this, period, action]() {
+        action();
+        every(period, action);
+    });
+}
+
+void World::boot(std::size_t index)
+{
+    Node &node = m_nodes[index];
+    ++node.life;
+    node.id.incarnation = Incarnation(m_nextIncarnation++);
+    node.revision = Revision();
+    node.running.clear();
+    node.callers.clear();
+    CoreSettings settings = m_settings;
+    settings.identity = Identity{node.id, "d" + std::to_string(index % 3), m_random()};
+    Policies policies = makeDefaultPolicies(settings.limits);
+    if (node.isEntry) {
+        node.core = std::make_unique<EntryCore>(settings, std::move(policies));
+    } else {
+        node.core = std::make_unique<AgentCore>(settings, std::move(policies));
+    }
+}
+
+void World::handle(std::size_t index, Event event)
+{
+    Node &node = m_nodes[index];
+    if (node.pausedUntil > m_now) {
+        const std::uint64_t life = node.life;
+        if (std::holds_alternative<event::Tick>(event) && std::exchange(node.tickPending, true)) {
+            return;
+        }
+        // What has piled up is taken in any order: a process that wakes may see its timers before its messages or after.
+        at(node.pausedUntil + upTo(milliseconds(1)), [this, index, life, event = std::move(event)]() {
+            if (m_nodes[index].life == life) {
+                handle(index, event);
+            }
+        });
+        return;
+    }
+    ++m_steps;
+    node.tickPending = false;
+    noteDeadline(event);
+    Effects effects;
+    node.core->handle(m_now + node.clockOffset, std::move(event), effects);
+    for (Effect &effect : effects) {
+        take(index, std::move(effect));
+    }
+}
+
+void World::noteDeadline(const Event &event)
+{
+    const event::CallerAsked *asked = std::get_if<event::CallerAsked>(&event);
+    if (asked == nullptr) {
+        return;
+    }
+    // A deadline counts from when an entry reads the call: what waited unread before that, the entry can't know.
+    if (const call::SubmitJob *job = std::get_if<call::SubmitJob>(&asked->call)) {
+        ClientJob &known = m_jobs[job->spec->digest.high];
+        known.latestStart = std::max(known.latestStart, m_now + job->deadline);
+    } else if (const call::SubmitRequest *request = std::get_if<call::SubmitRequest>(&asked->call)) {
+        ClientJob &known = m_jobs[request->spec->digest.high];
+        known.latestStart = std::max(known.latestStart, m_now + request->deadline);
+    }
+}
+
+void World::take(std::size_t index, Effect &&effect)
+{
+    Node &node = m_nodes[index];
+    if (const effect::SendPeer *message = std::get_if<effect::SendPeer>(&effect)) {
+        transmit(index, *message);
+    } else if (const effect::StartTask *task = std::get_if<effect::StartTask>(&effect)) {
+        startTask(index, *task);
+    } else if (const effect::AbortTask *abort = std::get_if<effect::AbortTask>(&effect)) {
+        if (node.running.erase(abort->run) > 0) {
+            at(m_now, [this, index, run = abort->run, life = node.life]() {
+                if (m_nodes[index].life == life) {
+                    handle(index, event::BackendFinished{run, TaskResult{TaskStatus::Unknown, 0, "", Duration(0)}});
+                }
+            });
+        }
+    } else if (const effect::ReplyCaller *reply = std::get_if<effect::ReplyCaller>(&effect)) {
+        const auto it = node.callers.find(reply->tag);
+        if (it == node.callers.end()) {
+            complain("an answer without a question");
+            return;
+        }
+        const std::function<void(const CallerReply &)> onReply = std::move(it->second);
+        node.callers.erase(it);
+        onReply(reply->reply);
+    }
+}
+
+void World::transmit(std::size_t from, const effect::SendPeer &effect)
+{
+    ++m_messages;
+    const auto target = m_byEndpoint.find(effect.to.endpoint);
+    if (target == m_byEndpoint.end()) {
+        return;
+    }
+    const std::size_t to = target->second;
+    const Node &sender = m_nodes[from];
+    const Envelope envelope = effect::SendPeer(effect).seal(sender.id, m_now + sender.clockOffset);
+    const bool stormy = m_now < m_stormEnds;
+    const bool cut = m_cutUntil[{from, to}] > m_now;
+    if (cut || (stormy && uniform() < m_faults.drop)) {
+        return;
+    }
+    const int copies = stormy && uniform() < m_faults.duplicate ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+        const bool late = stormy && uniform() < m_faults.late;
+        const Duration delay = Duration(200) + upTo(late ? m_faults.lateUpTo : milliseconds(2));
+        // A message outlives its sender, and may reach a later life at the address.
+        at(m_now + delay, [this, to, envelope]() { handle(to, event::PeerArrived{envelope}); });
+    }
+}
+
+void World::checkStart(const effect::StartTask &task)
+{
+    ++m_totalStarts;
+    if (++m_startsByTask[{task.job, task.index}] > 1) {
+        complain("task " + std::to_string(task.index.value()) + " of " + toString(task.job) + " started twice");
+    }
+    const int n = ++m_startsByPayload[task.payload];
+    const std::size_t number = static_cast<std::size_t>(std::stoul(task.payload));
+    const ClientJob &job = m_jobs[number];
+    if (n > 1 && !job.spec->repeatable) {
+        complain("payload " + task.payload + " of unrepeatable work started twice");
+    }
+    if (job.notRun) {
+        complain("payload " + task.payload + " started after its client was told 'not run'");
+    }
+    if (m_now > job.latestStart + DeadlineSlack) {
+        complain("payload " + task.payload + " started " + std::to_string((m_now - job.latestStart).count()) + " us late");
+    }
+}
+
+void World::startTask(std::size_t index, const effect::StartTask &task)
+{
+    Node &node = m_nodes[index];
+    const std::uint64_t life = node.life;
+    if (node.backendDownUntil > m_now) {
+        at(m_now + milliseconds(1), [this, index, life, run = task.run]() {
+            if (m_nodes[index].life == life) {
+                handle(index, event::BackendFinished{run, TaskResult{TaskStatus::NotStarted, 0, "", Duration(0)}});
+            }
+        });
+        return;
+    }
+    checkStart(task);
+    node.running.insert(task.run);
+    if (node.running.size() > Slots) {
+        complain("more tasks run than there are slots");
+    }
+    const double draw = uniform();
+    const bool stormy = m_now < m_stormEnds;
+    const TaskStatus status = stormy && draw < 0.005 ? TaskStatus::Failed
+        : stormy && draw < 0.01                      ? TaskStatus::Unknown
+                                                     : TaskStatus::Succeeded;
+    const Duration took = milliseconds(5) + upTo(stormy && draw > 0.97 ? seconds(4) : milliseconds(300));
+    at(m_now + took, [this, index, life, run = task.run, status, body = "done " + task.payload]() {
+        if (m_nodes[index].life == life && m_nodes[index].running.erase(run) > 0) {
+            handle(index, event::BackendFinished{run, TaskResult{status, 200, body, milliseconds(1)}});
+        }
+    });
+}
+
+void World::disturb()
+{
+    if (m_now >= m_stormEnds) {
+        return;
+    }
+    const double perTick = std::chrono::duration<double>(TickEvery).count();
+    if (uniform() < m_faults.killsPerSecond * perTick) {
+        const std::size_t index = below(m_nodes.size());
+        m_nodes[index].pausedUntil = m_now + upTo(seconds(2));
+        boot(index);
+    }
+    if (uniform() < m_faults.pausesPerSecond * perTick) {
+        m_nodes[below(m_nodes.size())].pausedUntil = m_now + upTo(m_faults.pauseUpTo);
+    }
+    if (uniform() < m_faults.cutsPerSecond * perTick) {
+        m_cutUntil[{below(m_nodes.size()), below(m_nodes.size())}] = m_now + upTo(seconds(6));
+    }
+    if (uniform() < m_faults.backendFaultsPerSecond * perTick) {
+        Node &node = m_nodes[below(m_nodes.size())];
+        node.backendDownUntil = m_now + upTo(seconds(2));
+        node.backendLeaving = uniform() < 0.3;
+    }
+    if (uniform() < 0.5 * perTick) {
+        // An operator's change seen by one entry, sometimes an old one, as from a store restored from a copy.
+        const std::uint64_t revision = uniform() < 0.2 && m_configRevision > 1 ? m_configRevision - 1 : ++m_configRevision;
+        const std::size_t entry = below(static_cast<std::size_t>(m_entryCount));
+        handle(entry, event::StoreConfigSeen{ConfigVersion{Revision(revision), "c" + std::to_string(revision), Document, {}}});
+    }
+}
+
+void World::ask(std::size_t entry, CallerCall call, std::function<void(const CallerReply &)> onReply)
+{
+    const CallerTag tag(m_nextTag++);
+    m_nodes[entry].callers.emplace(tag, std::move(onReply));
+    handle(entry, event::CallerAsked{tag, std::move(call)});
+}
+
+void World::newWork()
+{
+    if (m_now >= m_stormEnds + seconds(2)) {
+        return;
+    }
+    const std::size_t number = m_jobs.size();
+    ClientJob job;
+    job.isRequest = uniform() < 0.5;
+    job.deadline = milliseconds(300) + upTo(seconds(8));
+    job.submitted = m_now;
+    const std::shared_ptr<JobSpec> spec = std::make_shared<JobSpec>();
+    spec->service = "s";
+    spec->member = "m";
+    spec->kind = "k";
+    spec->repeatable = job.isRequest && uniform() < 0.5;
+    spec->digest = Digest{number, 1};
+    const std::size_t tasks = job.isRequest ? 1 : 1 + below(12);
+    for (std::size_t i = 0; i < tasks; ++i) {
+        spec->tasks.push_back(TaskSpec{std::to_string(number) + "." + std::to_string(i), Duration(0), 0});
+    }
+    job.spec = spec;
+    m_jobs.push_back(job);
+    const std::size_t entry = below(static_cast<std::size_t>(m_entryCount));
+    if (job.isRequest) {
+        ++m_jobs[number].asked;
+        ask(entry, call::SubmitRequest{spec, job.deadline},
+            [this, number](const CallerReply &reply) { onAnswer(number, reply); });
+        return;
+    }
+    ask(entry, call::MintIds{"s", 1}, [this, number](const CallerReply &reply) {
+        if (!reply.ids.empty()) {
+            m_jobs[number].id = reply.ids[0];
+            m_jobs[number].submitted = m_now;
+            submit(number);
+        }
+    });
+}
+
+void World::submit(std::size_t number)
+{
+    ClientJob &job = m_jobs[number];
+    ++job.asked;
+    const std::size_t entry = below(static_cast<std::size_t>(m_entryCount));
+    const Duration left = job.submitted + job.deadline - m_now;
+    if (left <= Duration::zero()) {
+        return;
+    }
+    ask(entry, call::SubmitJob{job.id, job.spec, left, true},
+        [this, number](const CallerReply &reply) { onAnswer(number, reply); });
+    if (uniform() < 0.5) {
+        at(m_now + upTo(seconds(2)), [this, number]() { submit(number); });
+    }
+    if (uniform() < 0.05) {
+        ask(entry, call::CancelJob{job.id, "m"}, [](const CallerReply &) {});
+    }
+}
+
+void World::onAnswer(std::size_t number, const CallerReply &reply)
+{
+    ClientJob &job = m_jobs[number];
+    ++job.answers;
+    if (std::holds_alternative<NotRun>(reply.outcome)) {
+        ++m_notRun;
+        // An answer about a whole job speaks of all its tasks.
+        job.notRun = true;
+        for (const TaskSpec &task : job.spec->tasks) {
+            if (m_startsByPayload.count(task.payload) > 0) {
+                complain("payload " + task.payload + " had started when its client was told 'not run': " + reply.text);
+            }
+        }
+        return;
+    }
+    if (!reply.job || reply.job->state != JobState::Complete) {
+        return;
+    }
+    ++m_complete;
+    std::vector<std::string> bodies;
+    for (const TaskResult &result : reply.job->results) {
+        bodies.push_back(result.body);
+    }
+    if (bodies.size() != job.spec->tasks.size()) {
+        complain("job " + std::to_string(number) + " got a partial answer");
+        return;
+    }
+    for (std::size_t i = 0; i < bodies.size(); ++i) {
+        if (bodies[i] != "done " + job.spec->tasks[i].payload) {
+            complain("job " + std::to_string(number) + " got another's answer: " + bodies[i]);
+        }
+    }
+    if (job.complete && job.bodies != bodies) {
+        complain("job " + std::to_string(number) + " got two different answers");
+    }
+    job.complete = true;
+    job.bodies = bodies;
+}
+
+void World::checkSettled()
+{
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        const std::string name = (m_nodes[i].isEntry ? "entry " : "agent ") + std::to_string(i);
+        ask(i, call::ShowStatus(), [this, name](const CallerReply &reply) {
+            const StatusReport &status = *reply.status;
+            if (status.jobs > 0 || status.waitingTasks > 0 || status.pendingCalls > 0) {
+                complain(name + " has not settled: " + std::to_string(status.jobs) + " jobs, "
+                         + std::to_string(status.waitingTasks) + " waiting tasks, " + std::to_string(status.pendingCalls)
+                         + " calls");
+            }
+            if (status.revision.value() != m_configRevision) {
+                complain(name + " has revision " + std::to_string(status.revision.value()) + " instead of "
+                         + std::to_string(m_configRevision));
+            }
+        });
+    }
+}
+
+void World::run(Duration stormy, Duration quiet)
+{
+    m_stormEnds = m_now + stormy;
+    const TimePoint end = m_stormEnds + quiet;
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        every(TickEvery, [this, i]() { handle(i, event::Tick{}); });
+        if (!m_nodes[i].isEntry) {
+            every(AnnounceEvery, [this, i]() {
+                const bool leaving = m_nodes[i].backendLeaving && m_now < m_stormEnds;
+                handle(i, event::BackendAnnounced{"s", Endpoint{1, 1}, Slots, Slots, AnnounceValid, leaving});
+            });
+        }
+    }
+    every(TickEvery, [this]() { disturb(); });
+    every(milliseconds(60), [this]() { newWork(); });
+    // A change after the storm, which has to be in force everywhere by the end.
+    at(m_stormEnds, [this]() {
+        m_cutUntil.clear();
+        for (Node &node : m_nodes) {
+            node.pausedUntil = std::min(node.pausedUntil, m_now);
+        }
+    });
+    at(end - seconds(3), [this]() {
+        handle(0, event::StoreConfigSeen{ConfigVersion{Revision(++m_configRevision), "last", Document, {}}});
+    });
+    while (!m_queue.empty() && m_queue.begin()->first.first < end) {
+        const auto it = m_queue.begin();
+        m_now = std::max(m_now, it->first.first);
+        const Action action = std::move(it->second);
+        m_queue.erase(it);
+        action();
+    }
+    checkSettled();
+}
+
+} // namespace cuminscale::test
--- /dev/null
+++ b/tests/world.h
@@ -0,0 +1,151 @@
+/// A small fake of everything around some cores: a lossy network, backend servers, clients, and virtual time.
+#pragma once
+
+#include "core/agent_core.h"
+#include "core/entry_core.h"
+
+#include <functional>
+#include <map>
+#include <queue>
+#include <set>
+
+namespace cuminscale::test
+{
+
+/// How much goes wrong.
+struct Faults
+{
+    double drop = 0.02;
+    double duplicate = 0.02;
+    double late = 0.01; ///< Part of the messages that take up to lateUpTo.
+    Duration lateUpTo = seconds(3);
+    double killsPerSecond = 0.3;
+    double pausesPerSecond = 0.5;
+    Duration pauseUpTo = seconds(12);
+    double cutsPerSecond = 0.5; ///< Links cut in one direction.
+    double backendFaultsPerSecond = 0.5;
+};
+
+/// One submission as its client sees it.
+struct ClientJob
+{
+    SubmissionId id;
+    std::shared_ptr<const JobSpec> spec;
+    TimePoint submitted;
+    Duration deadline{0};
+    TimePoint latestStart; ///< When the last of its submissions reaches its deadline.
+    bool isRequest = false;
+    int answers = 0;
+    int asked = 0;
+    bool notRun = false;
+    bool complete = false;
+    std::vector<std::string> bodies;
+};
+
+/// Cores joined by a network that delays, drops, repeats, reorders and cuts, with processes that die, pause and return. All
+/// choices come from one seed. What the users were promised is checked at every start and every answer.
+class World
+{
+public:
+    World(std::uint64_t seed, int entries, int agents, const Faults &faults);
+
+    /// Runs for a while with faults and clients, then without, until everything has had time to settle.
+    void run(Duration stormy, Duration quiet);
+
+    /// What was found to be wrong; empty when all promises held.
+    const std::vector<std::string> &broken() const noexcept
+    {
+        return m_broken;
+    }
+
+    std::uint64_t steps() const noexcept
+    {
+        return m_steps;
+    }
+
+    std::uint64_t starts() const noexcept
+    {
+        return m_totalStarts;
+    }
+
+    std::uint64_t messages() const noexcept
+    {
+        return m_messages;
+    }
+
+    std::uint64_t completeAnswers() const noexcept
+    {
+        return m_complete;
+    }
+
+    std::uint64_t notRunAnswers() const noexcept
+    {
+        return m_notRun;
+    }
+
+private:
+    struct Node
+    {
+        std::unique_ptr<Core> core;
+        ProcessId id;
+        bool isEntry = false;
+        Duration clockOffset{0};
+        TimePoint pausedUntil;
+        std::uint64_t life = 0;
+        Revision revision;
+        TimePoint backendDownUntil;
+        bool backendLeaving = false;
+        bool tickPending = false; ///< A paused process finds one expired timer, however long it was paused.
+        std::set<RunId> running;
+        std::map<CallerTag, std::function<void(const CallerReply &)>> callers;
+    };
+
+    using Action = std::function<void()>;
+
+    void at(TimePoint when, Action action);
+    void every(Duration period, const std::function<void()> &action);
+    void boot(std::size_t index);
+    void handle(std::size_t index, Event event);
+    void noteDeadline(const Event &event);
+    void take(std::size_t index, Effect &&effect);
+    void transmit(std::size_t from, const effect::SendPeer &effect);
+    void startTask(std::size_t index, const effect::StartTask &task);
+    void checkStart(const effect::StartTask &task);
+    void disturb();
+    void newWork();
+    void submit(std::size_t job);
+    void onAnswer(std::size_t job, const CallerReply &reply);
+    void ask(std::size_t entry, CallerCall call, std::function<void(const CallerReply &)> onReply);
+    void checkSettled();
+    void complain(const std::string &what);
+    double uniform();
+    std::size_t below(std::size_t n);
+    Duration upTo(Duration most);
+
+    Faults m_faults;
+    CoreSettings m_settings;
+    std::mt19937_64 m_random;
+    TimePoint m_now{seconds(1000)};
+    TimePoint m_stormEnds;
+    int m_entryCount;
+    std::vector<Node> m_nodes;
+    std::map<Endpoint, std::size_t> m_byEndpoint;
+    std::map<std::pair<std::size_t, std::size_t>, TimePoint> m_cutUntil;
+    using Scheduled = std::pair<TimePoint, std::uint64_t>;
+    std::map<Scheduled, Action> m_queue;
+    std::uint64_t m_order = 0;
+    std::uint64_t m_nextTag = 1;
+    std::uint64_t m_nextIncarnation = 1;
+    std::vector<ClientJob> m_jobs;
+    std::map<std::string, int> m_startsByPayload;
+    std::map<std::pair<SubmissionId, TaskIndex>, int> m_startsByTask;
+    std::uint64_t m_configRevision = 0;
+    std::vector<std::string> m_broken;
+    std::uint64_t m_steps = 0;
+    std::uint64_t m_totalStarts = 0;
+    std::uint64_t m_messages = 0;
+    std::uint64_t m_complete = 0;
+    std::uint64_t m_notRun = 0;
+};
+
+} // namespace cuminscale::test
