--- a/tools/backend_standin.cpp
+++ b/tools/backend_standin.cpp
@@ -53,6 +53,7 @@
 struct StartLog
 {
     std::map<std::string, std::map<std::string, std::uint32_t>> bySubmission;
+    std::map<std::string, std::uint32_t> byEcho;
     std::uint64_t total = 0;
     std::uint64_t doubled = 0;
     std::uint64_t aborted = 0;
@@ -153,11 +154,13 @@
         if (m_mode == Mode::Leaving && started - m_leavingSince > LeavingLimit) {
             ++m_log.afterLeaving;
         }
+        const Work work = readWork(request.body);
+        ++m_log.byEcho[work.echo];
         if (m_mode == Mode::Hang) {
             m_hung.push_back(exchange);
             return;
         }
-        const Work work = readWork(request.body);
+
         const std::shared_ptr<asio::steady_timer> timer = std::make_shared<asio::steady_timer>(m_context);
         const bool fails = work.fail || m_mode == Mode::Fail;
         const std::uint64_t factor = m_mode == Mode::Crawl ? CrawlFactor : 1;
@@ -208,6 +211,14 @@
     HttpResponse response;
     const std::string starts = "/starts";
     const std::string setMode = "/mode/";
+    if (request.target == "/echoes") {
+        json::object body;
+        for (const std::pair<const std::string, std::uint32_t> &echo : log.byEcho) {
+            body[echo.first] = echo.second;
+        }
+        response.body = json::serialize(body) + "\n";
+        return response;
+    }
     if (request.target.rfind(starts, 0) == 0) {
         json::object body{{"total", log.total},
                           {"doubled", log.doubled},
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -172,14 +172,44 @@
                 time.sleep(0.1)
         time.sleep(0.6)
 
-    def load(self, mix, name="mix"):
-        """Runs the load tool on a mix; returns its report."""
+    def start_load(self, mix, name="mix"):
+        """Starts the load tool on a mix; finish_load() takes its report."""
         path = self.write_settings(name, mix)
         command = [os.path.join(BUILD, "tools/cuminscale-load"), "--mix", path, "--entries", ",".join(self.callers()), "--json"]
-        done = subprocess.run(command, capture_output=True, text=True, timeout=600)
-        if done.returncode != 0:
-            raise RuntimeError(done.stderr)
-        return json.loads(done.stdout)
+        return subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+
+    @staticmethod
+    def finish_load(process):
+        """Waits for the load tool and returns its report."""
+        text, _ = process.communicate(timeout=600)
+        if process.returncode != 0:
+            raise RuntimeError("the load tool ended with %d" % process.returncode)
+        return json.loads(text)
+
+    def load(self, mix, name="mix"):
+        """Runs the load tool on a mix; returns its report."""
+        return self.finish_load(self.start_load(mix, name))
+
+    def restart(self, child, how="kill"):
+        """Ends a daemon, by kill -9 or in good order, and starts it again at the same addresses. Returns its exit code."""
+        code = None
+        if how == "kill":
+            child.kill()
+        else:
+            code = child.stop()
+        path = child.command[child.command.index("--settings") + 1]
+        with open(path) as file:
+            settings = json.load(file)
+        settings["peer"]["listen"] = child.info["peer"]
+        settings["http"]["operator_listen"] = child.info["operator"]
+        if settings["role"] == "entry":
+            settings["http"]["caller_listen"] = child.info["caller"]
+        with open(path, "w") as file:
+            json.dump(settings, file)
+        replacement = Child(child.command, path.replace(".json", ".log"))
+        for group in [self.children, self.entries, *self.agents.values()]:
+            group[:] = [replacement if c is child else c for c in group]
+        return code
 
     def cli(self, *arguments):
         command = [os.path.join(BUILD, "src/cuminscale"), *arguments, "--caller", ",".join(self.callers())]
--- a/tools/load/mix.cpp
+++ b/tools/load/mix.cpp
@@ -64,13 +64,14 @@
     Mix mix;
     BOOST_LEAF_AUTO(value, parseJson(text));
     BOOST_LEAF_AUTO(object, JsonObject::from(value, ""));
-    BOOST_LEAF_CHECK(object.allow({"service", "duration_s", "warmup_s", "seed", "slots", "streams"}));
+    BOOST_LEAF_CHECK(object.allow({"service", "duration_s", "warmup_s", "seed", "slots", "resubmit", "streams"}));
     BOOST_LEAF_ASSIGN(mix.service, object.requiredText("service"));
     BOOST_LEAF_ASSIGN(mix.durationS, object.fraction("duration_s", mix.durationS, 0.1, MaxSeconds));
     BOOST_LEAF_ASSIGN(mix.warmupS, object.fraction("warmup_s", mix.warmupS, 0, MaxSeconds));
     BOOST_LEAF_ASSIGN(mix.seed, object.number("seed", mix.seed, 0, UINT64_MAX));
     BOOST_LEAF_AUTO(slots, object.number("slots", mix.slots, 1, 1'000'000));
     mix.slots = static_cast<std::uint32_t>(slots);
+    BOOST_LEAF_ASSIGN(mix.resubmit, object.fraction("resubmit", 0, 0, 1));
     BOOST_LEAF_AUTO(streams, object.list("streams"));
     if (streams == nullptr || streams->empty()) {
         return object.fail("streams", "has to be a list of at least one stream");
--- a/tools/load/mix.h
+++ b/tools/load/mix.h
@@ -46,6 +46,7 @@
     double warmupS = 1; ///< Arrivals before this are sent and not reported.
     std::uint64_t seed = 1;
     std::uint32_t slots = 88;
+    double resubmit = 0; ///< Part of the jobs that are submitted twice at once.
     std::vector<Stream> streams;
 };
 
--- a/tools/load/report.cpp
+++ b/tools/load/report.cpp
@@ -86,8 +86,18 @@
         out["refusal_ms_p50"] = quantile(summary.refusalMs, 0.5);
         streams[mix.streams[i].name] = std::move(out);
     }
-    return json::serialize(json::object{{"service", mix.service}, {"elapsed_s", elapsedS}, {"streams", std::move(streams)}})
-        + "\n";
+    // Arrivals that were told "not run", so that the backend servers' logs can be searched for them.
+    json::array notRun;
+    for (std::size_t i = 0; i < samples.size(); ++i) {
+        if (samples[i].end == End::NotRun) {
+            notRun.emplace_back(i);
+        }
+    }
+    const json::object report{{"service", mix.service},
+                              {"elapsed_s", elapsedS},
+                              {"streams", std::move(streams)},
+                              {"not_run_arrivals", std::move(notRun)}};
+    return json::serialize(report) + "\n";
 }
 
 std::string renderText(const Mix &mix, const std::vector<Sample> &samples, double elapsedS)
--- a/tools/load/runner.cpp
+++ b/tools/load/runner.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t IdsAtOnce = 100;
 /// Answers may come this much after the deadline before the client gives up.
 constexpr Duration Patience = seconds(3);
+constexpr Duration BetweenAttempts = milliseconds(150);
 
 class Runner
 {
@@ -140,9 +141,26 @@
         request.target = "/v1/services/" + m_mix.service + "/jobs/" + m_ids.front();
         request.body = json::serialize(body);
         m_ids.pop_front();
+        resubmitOnce(index, request);
         submit(index, std::move(request));
     }
 
+    /// Some jobs are submitted a second time while the first copy is under way, through another entry.
+    void resubmitOnce(std::size_t index, const HttpRequest &request)
+    {
+        if (m_mix.resubmit <= 0 || static_cast<double>(index % 100) >= m_mix.resubmit * 100) {
+            return;
+        }
+        m_client.send(entryFor(index + 1), request, seconds(30), [this, index](HttpOutcome &&outcome) {
+            Sample ignored = m_samples[index];
+            const bool wrong = outcome.end == HttpEnd::Answered && outcome.response.status == 200
+                && !isOwnWholeAnswer(index, outcome.response.body, ignored);
+            if (wrong) {
+                m_samples[index].end = End::Wrong;
+            }
+        });
+    }
+
     static json::object common(const Stream &stream)
     {
         return json::object{{"member", stream.member},
@@ -156,8 +174,31 @@
         const std::chrono::steady_clock::time_point sent = std::chrono::steady_clock::now();
         const Stream &stream = m_mix.streams[m_arrivals[index].stream];
         const Duration timeout = milliseconds(stream.deadlineMs) + Patience;
-        m_client.send(entryFor(index), std::move(request), timeout,
-                      [this, index, sent](HttpOutcome &&outcome) { take(index, std::move(outcome), sent); });
+        sendUntilDecided(index, std::move(request), sent, sent + timeout, 0);
+    }
+
+    /// A job whose outcome is not known is submitted again under its id, through another entry; a request is not.
+    void sendUntilDecided(std::size_t index, HttpRequest &&request, std::chrono::steady_clock::time_point sent,
+                          std::chrono::steady_clock::time_point end, std::size_t attempt)
+    {
+        const std::shared_ptr<HttpRequest> kept = std::make_shared<HttpRequest>(request);
+        const Duration left = std::chrono::duration_cast<Duration>(end - std::chrono::steady_clock::now());
+        m_client.send(
+            entryFor(index + attempt), std::move(request), left, [this, index, kept, sent, end, attempt](HttpOutcome &&outcome) {
+                const bool answered = outcome.end == HttpEnd::Answered;
+                const bool undecided = !answered || outcome.response.body.find("\"state\":\"unknown\"") != std::string::npos;
+                const bool again = undecided && (kept->method == "PUT" || outcome.end == HttpEnd::NotSent)
+                    && std::chrono::steady_clock::now() + BetweenAttempts < end;
+                if (!again) {
+                    take(index, std::move(outcome), sent);
+                    return;
+                }
+                const std::shared_ptr<asio::steady_timer> timer = std::make_shared<asio::steady_timer>(m_context);
+                timer->expires_after(BetweenAttempts);
+                timer->async_wait([this, index, kept, sent, end, attempt, timer](boost::system::error_code) {
+                    sendUntilDecided(index, HttpRequest(*kept), sent, end, attempt + 1);
+                });
+            });
     }
 
     void take(std::size_t index, HttpOutcome &&outcome, std::chrono::steady_clock::time_point sent)
