Entries pace heartbeats among themselves; make slopes measures what control costs as the set grows

Cause: at 42 entries, heartbeats among entries every 500 ms alone would cost 14.8 KB/s (41 others, 90 bytes, both ways), and a reply that names 32 agents made the paced period needlessly long (13 s at 33 agents). Change: entries pace their heartbeats to a fifth of the budget; a reply names as many agents as let heartbeats come every second, at least four, without the service that the receiver knows. benchmark/slopes.py runs 11, 33 and 99 agents and prints the table.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 	libboost1.81-all-dev libboost-json1.81-dev libzmq3-dev cppzmq-dev libprotobuf-dev protobuf-compiler \
 	libgflags-dev catch2 librapidcheck-dev libssl-dev libxxhash-dev spin gcc
 
-.PHONY: all deps build demo test bench model soak faults fuzz lint format clean
+.PHONY: all deps build demo test bench slopes model soak faults fuzz lint format clean
 
 all: build
 
@@ -55,3 +55,6 @@
 	@cmake -S . -B build-fuzz -G Ninja -DCUMINSCALE_FUZZ=ON -DCMAKE_CXX_COMPILER=clang++ >/dev/null
 	@cmake --build build-fuzz -j $(JOBS) --target fuzz_peer_codec fuzz_caller_api fuzz_announcement fuzz_etcd_messages fuzz_settings | tail -n 1
 	@for f in build-fuzz/fuzz/fuzz_*[a-z]; do echo "$$f"; $$f -max_total_time=$(FUZZ_SECONDS) -verbosity=0 -print_final_stats=1 2>&1 | grep -E 'ERROR|number_of_executed' ; done
+
+slopes: build
+	python3 benchmark/slopes.py
--- a/src/core/agent_core.cpp
+++ b/src/core/agent_core.cpp
@@ -201,7 +201,8 @@
     // Entries that hear many agents want heartbeats further apart; half of the old value lets it come down again.
     m_period = std::max(reply.nextAfter, m_period / 2);
     m_peers.report(from, AgentBrief{from, "", "", 0, 0, 0, reply.revision, false}, true);
-    for (const AgentBrief &brief : reply.agents) {
+    for (AgentBrief brief : reply.agents) {
+        brief.service = m_executor.service();
         if (brief.agent.endpoint == step.self().endpoint) {
             continue;
         }
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -13,15 +13,19 @@
 constexpr const char *Part = "entry";
 /// For work whose caller and kind name no deadline.
 constexpr Duration DefaultDeadline = seconds(60);
-/// Agents of the same service named in one heartbeat reply, while few agents are attached and once many are.
-constexpr std::size_t AgentsPerReply = 32;
-constexpr std::size_t AgentsPerCrowdedReply = 6;
-constexpr std::size_t CrowdedFrom = 64;
+/// Agents of the same service named in one heartbeat reply: as many as let heartbeats come every second, within these.
+constexpr std::int64_t FewestNamed = 4;
+constexpr std::int64_t MostNamed = 32;
+constexpr double NamedWithinS = 1.0;
 /// Bytes of a heartbeat with its reply, but for the agents that the reply names, and of each of these.
-constexpr std::int64_t ExchangeBytes = 230;
-constexpr std::int64_t NamedAgentBytes = 60;
-/// Part of the control budget that heartbeats of agents may take; the rest is for entries, ids and the configuration.
+constexpr std::int64_t ExchangeBytes = 250;
+constexpr std::int64_t NamedAgentBytes = 40;
+/// Parts of the control budget that heartbeats of agents and of other entries may take; the rest is for ids and the
+/// configuration.
 constexpr double HeartbeatPart = 0.6;
+constexpr double EntriesPart = 0.2;
+/// Bytes of a heartbeat between entries, sent and received.
+constexpr double EntryHeartbeatBytes = 200;
 /// Heartbeats that a peer may miss before it gets no new work, and before it is forgotten.
 constexpr int MissedUntilSuspect = 3;
 constexpr int MissedUntilGone = 8;
@@ -132,6 +136,9 @@
     for (const AgentBrief &brief : m_peers.agents(step.now(), suspectAfter())) {
         if (brief.service == agent.service && brief.agent != agent.agent) {
             sample.push_back(brief);
+            // The receiver knows its own service, and needs no other's revision.
+            sample.back().service.clear();
+            sample.back().revision = Revision();
         }
     }
     if (sample.size() > m_sampleSize) {
@@ -323,6 +330,9 @@
     }
     std::sort(others.begin(), others.end());
     others.erase(std::unique(others.begin(), others.end()), others.end());
+    const double needed =
+        EntryHeartbeatBytes * static_cast<double>(others.size()) / (EntriesPart * m_settings.limits.controlBytesPerSecond);
+    m_entryPeriod = std::max(m_settings.timing.heartbeatEvery, Duration(static_cast<std::int64_t>(needed * 1e6)));
     for (const Endpoint &other : others) {
         if (other != step.self().endpoint) {
             step.sendControl(ProcessId{other, Incarnation()}, msg::Heartbeat{brief, true, {}});
@@ -339,7 +349,7 @@
     paceHeartbeats(step);
     m_peers.setSuspectAfter(suspectAfter());
     m_calls.tick(step);
-    if (step.now() - m_lastHeartbeat >= timing.heartbeatEvery) {
+    if (step.now() - m_lastHeartbeat >= std::max(timing.heartbeatEvery, m_entryPeriod)) {
         heartbeatEntries(step);
     }
     for (const Endpoint &endpoint : m_peers.dueForReplacement(step.now(), suspectAfter())) {
@@ -363,24 +373,24 @@
 
 void EntryCore::paceHeartbeats(Step &step)
 {
-    const std::size_t attached = m_peers.agents(step.now(), goneAfter()).size();
-    m_sampleSize = attached < CrowdedFrom ? AgentsPerReply : AgentsPerCrowdedReply;
-    const std::size_t named = std::min(m_sampleSize, attached);
-    const double bytes =
-        static_cast<double>(attached) * static_cast<double>(ExchangeBytes + NamedAgentBytes * static_cast<std::int64_t>(named));
-    const double secondsNeeded = bytes / (HeartbeatPart * m_settings.limits.controlBytesPerSecond);
-    const Duration needed(static_cast<std::int64_t>(secondsNeeded * 1e6));
-    m_agentPeriod = std::max(m_settings.timing.heartbeatEvery, needed);
+    const std::int64_t attached =
+        std::max<std::int64_t>(1, static_cast<std::int64_t>(m_peers.agents(step.now(), goneAfter()).size()));
+    const double budget = HeartbeatPart * m_settings.limits.controlBytesPerSecond;
+    const std::int64_t room = static_cast<std::int64_t>(budget * NamedWithinS) / attached - ExchangeBytes;
+    m_sampleSize = static_cast<std::size_t>(std::clamp(room / NamedAgentBytes, FewestNamed, MostNamed));
+    const std::int64_t named = std::min(static_cast<std::int64_t>(m_sampleSize), attached);
+    const double needed = static_cast<double>(attached * (ExchangeBytes + NamedAgentBytes * named)) / budget;
+    m_agentPeriod = std::max(m_settings.timing.heartbeatEvery, Duration(static_cast<std::int64_t>(needed * 1e6)));
 }
 
 Duration EntryCore::suspectAfter() const
 {
-    return std::max(m_settings.timing.suspectAfter, m_agentPeriod * MissedUntilSuspect);
+    return std::max(m_settings.timing.suspectAfter, std::max(m_agentPeriod, m_entryPeriod) * MissedUntilSuspect);
 }
 
 Duration EntryCore::goneAfter() const
 {
-    return std::max(m_settings.timing.goneAfter, m_agentPeriod * MissedUntilGone);
+    return std::max(m_settings.timing.goneAfter, std::max(m_agentPeriod, m_entryPeriod) * MissedUntilGone);
 }
 
 bool EntryCore::ready(TimePoint now) const
--- a/src/core/entry_core.h
+++ b/src/core/entry_core.h
@@ -46,6 +46,7 @@
     std::vector<Endpoint> m_registered; ///< Entries that the store lists.
     std::unordered_map<CallerTag, ConfigVersion, IdHash> m_writes;
     Duration m_agentPeriod{0}; ///< How often agents are asked to send heartbeats here.
+    Duration m_entryPeriod{0}; ///< How often this entry sends heartbeats to the others.
     std::size_t m_sampleSize = 0;
     TimePoint m_lastHeartbeat;
     TimePoint m_leavingSince;
