--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -1,4 +1,4 @@
-/// Typed messages between processes. Plain values: the wire form lives in src/adapters/peer_codec.cpp.
+/// Typed messages between processes. Plain values: the wire form lives in src/adapters/peer_encoder.cpp and peer_decoder.cpp.
 #pragma once
 
 #include "cuminscale/ids.h"
--- a/tests/protocol_tests.cpp
+++ b/tests/protocol_tests.cpp
@@ -27,12 +27,12 @@
     faults.pausesPerSecond = (seed % 7 == 3) ? 2.0 : 0.4;
     World world(seed, 2, 4, faults);
     world.run(Stormy, Quiet);
-    for (const std::string &what : world.broken()) {
+    for (const std::string &what : world.tally().broken) {
         std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed), what.c_str());
     }
-    steps += world.steps();
+    steps += world.tally().steps;
     starts += world.clients().starts();
-    return world.broken().size();
+    return world.tally().broken.size();
 }
 
 int soak(std::uint64_t seeds)
@@ -66,7 +66,7 @@
 {
     World world(5, 3, 5, NoFaults);
     world.run(Stormy, Quiet);
-    REQUIRE(world.broken().empty());
+    REQUIRE(world.tally().broken.empty());
     REQUIRE(world.clients().completeAnswers() > 400);
     REQUIRE(world.clients().otherAnswers() == 0);
 }
@@ -78,8 +78,8 @@
         faults.shutdownsPerSecond = 0.4;
         World world(seed, 3, 5, faults);
         world.run(Stormy, Quiet);
-        INFO("seed " << seed << (world.broken().empty() ? "" : ": " + world.broken().front()));
-        REQUIRE(world.broken().empty());
+        INFO("seed " << seed << (world.tally().broken.empty() ? "" : ": " + world.tally().broken.front()));
+        REQUIRE(world.tally().broken.empty());
         REQUIRE(world.clients().completeAnswers() > 400);
         REQUIRE(world.clients().otherAnswers() == 0);
     }
@@ -91,10 +91,10 @@
     faults.stragglers = 0.03;
     World world(11, 3, 5, faults);
     world.run(Stormy, Quiet);
-    REQUIRE(world.broken().empty());
-    REQUIRE(world.counted(Counter::RequestHedges) > 0);
+    REQUIRE(world.tally().broken.empty());
+    REQUIRE(world.tally().counters.get(Counter::RequestHedges) > 0);
     // A tenth of the completed work, and what each member may start with at each entry.
-    REQUIRE(world.counted(Counter::RequestHedges) <= world.clients().completeAnswers() / 10 + 3 * 3);
+    REQUIRE(world.tally().counters.get(Counter::RequestHedges) <= world.clients().completeAnswers() / 10 + 3 * 3);
 }
 
 TEST_CASE("the same seed gives the same run")
@@ -103,8 +103,8 @@
     World second(9, 2, 4, Faults());
     first.run(Stormy, Quiet);
     second.run(Stormy, Quiet);
-    REQUIRE(first.steps() == second.steps());
-    REQUIRE(first.messages() == second.messages());
+    REQUIRE(first.tally().steps == second.tally().steps);
+    REQUIRE(first.tally().messages == second.tally().messages);
     REQUIRE(first.clients().starts() == second.clients().starts());
 }
 
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -64,7 +64,7 @@
 
 void World::complain(const std::string &what)
 {
-    m_broken.push_back("at " + std::to_string((m_now - TimePoint(seconds(1000))).count()) + " us: " + what);
+    m_tally.broken.push_back("at " + std::to_string((m_now - TimePoint(seconds(1000))).count()) + " us: " + what);
 }
 
 void World::at(TimePoint when, Action action)
@@ -85,7 +85,6 @@
     Node &node = m_nodes[index];
     ++node.life;
     node.id.incarnation = Incarnation(m_nextIncarnation++);
-    node.revision = Revision();
     node.running.clear();
     node.callers.clear();
     node.stopping = false;
@@ -115,7 +114,7 @@
         });
         return;
     }
-    ++m_steps;
+    ++m_tally.steps;
     node.tickPending = false;
     m_clients->onHandled(event);
     Effects effects;
@@ -177,7 +176,7 @@
 
 void World::transmit(std::size_t from, const effect::SendPeer &effect)
 {
-    ++m_messages;
+    ++m_tally.messages;
     const auto target = m_byEndpoint.find(effect.to.endpoint);
     if (target == m_byEndpoint.end()) {
         return;
@@ -292,7 +291,7 @@
         ask(i, call::ShowStatus(), [this, name](const CallerReply &reply) {
             const StatusReport &status = *reply.status;
             for (std::size_t c = 0; c < static_cast<std::size_t>(Counter::Total); ++c) {
-                m_counters.add(static_cast<Counter>(c), status.counters.get(static_cast<Counter>(c)));
+                m_tally.counters.add(static_cast<Counter>(c), status.counters.get(static_cast<Counter>(c)));
             }
             if (status.jobs > 0 || status.waitingTasks > 0 || status.pendingCalls > 0) {
                 complain(name + " has not settled: " + std::to_string(status.jobs) + " jobs, "
--- a/tests/world.h
+++ b/tests/world.h
@@ -32,6 +32,15 @@
 
 class Clients;
 
+/// What a run came to. The counters are those of all processes that are there at the end.
+struct Tally
+{
+    std::vector<std::string> broken;
+    std::uint64_t steps = 0;
+    std::uint64_t messages = 0;
+    Counters counters;
+};
+
 /// Cores joined by a network that delays, drops, repeats, reorders and cuts, with processes that die, pause and return. All
 /// choices come from one seed. What the users were promised is checked at every start and every answer.
 class World
@@ -43,15 +52,10 @@
     /// Runs for a while with faults and clients, then without, until everything has had time to settle.
     void run(Duration stormy, Duration quiet);
 
-    /// What was found to be wrong; empty when all promises held.
-    const std::vector<std::string> &broken() const noexcept
-    {
-        return m_broken;
-    }
-
-    std::uint64_t steps() const noexcept
+    /// What was counted, and what was found to be wrong.
+    const Tally &tally() const noexcept
     {
-        return m_steps;
+        return m_tally;
     }
 
     /// What the clients saw.
@@ -60,17 +64,6 @@
         return *m_clients;
     }
 
-    std::uint64_t messages() const noexcept
-    {
-        return m_messages;
-    }
-
-    /// Sum of a counter over all processes that are there at the end.
-    std::uint64_t counted(Counter counter) const noexcept
-    {
-        return m_counters.get(counter);
-    }
-
 private:
     friend class Clients;
 
@@ -83,7 +76,6 @@
         TimePoint pausedUntil;
         bool stopping = false;
         std::uint64_t life = 0;
-        Revision revision;
         TimePoint backendDownUntil;
         bool backendLeaving = false;
         bool tickPending = false; ///< A paused process finds one expired timer, however long it was paused.
@@ -126,10 +118,7 @@
     std::uint64_t m_nextIncarnation = 1;
     std::uint64_t m_configRevision = 0;
     std::unique_ptr<Clients> m_clients;
-    std::vector<std::string> m_broken;
-    std::uint64_t m_steps = 0;
-    std::uint64_t m_messages = 0;
-    Counters m_counters;
+    Tally m_tally;
 };
 
 } // namespace cuminscale::test
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -74,7 +74,7 @@
     """A store stand-in, some entries, and agents with backend stand-ins, one stand-in process for each service."""
 
     def __init__(self, entries=3, services=None, slots=8, settings=None, store=True, report_time=False):
-        self.services = services or {"pairing": 11}
+        self.services = {"pairing": 11} if services is None else services
         self.settings = settings or {}
         self.slots = slots
         self.report_time = report_time
