Limits on silence live in one place; slopes measure starts and records at two sizes

Cause: the two cores each kept the same limits on silence and the same check of a message's incarnation; 'show' and 'status' read alike; the cost of starts had been measured at one size only. Change: PeerTable derives both limits from the heartbeat period; isForThisLife(); one fetch() in the command line; slopes runs its load at 11 and 33 agents and adds the operators' row. Conclusion: no behaviour changed.

--- a/benchmark/slopes.py
+++ b/benchmark/slopes.py
@@ -16,6 +16,7 @@
 
 SIZES = (11, 33, 99)
 ENTRY_SIZES = (2, 4, 8)
+LOAD_SIZES = (11, 33)
 REST_S = 12.0
 # The letter's size.
 WORKERS = 1700
@@ -98,7 +99,7 @@
     return report["complete"], (after - before) * 1e6 / max(report["complete"], 1)
 
 
-def starts_cost(cluster):
+def starts_cost(cluster, size):
     """Processor time of a start in jobs, at an entry and an agent, and what late binding adds in messages."""
     names = ("tasks_started", "offers_sent", "claims_sent", "empty_grants", "work_messages_sent")
 
@@ -112,8 +113,8 @@
 
     cpu = [sum(totals(cluster, c)["cpu"] for c in group) for group in (cluster.entries, cluster.agents["pairing"])]
     before = counted()
-    stream = {"name": "j", "member": "team-0", "kind": "k", "per_second": 20, "least_tasks": 10, "most_tasks": 2000, "run": {"median_ms": 10}}
-    cluster.load({"service": "pairing", "duration_s": 10, "warmup_s": 0, "slots": 264, "streams": [{**stream, "deadline_ms": 60000}]})
+    stream = {"name": "j", "member": "team-0", "kind": "k", "per_second": size * 0.6, "least_tasks": 10, "most_tasks": 2000, "run": {"median_ms": 10}}
+    cluster.load({"service": "pairing", "duration_s": 10, "warmup_s": 0, "slots": size * 8, "streams": [{**stream, "deadline_ms": 60000}]})
     used = [sum(totals(cluster, c)["cpu"] for c in group) - b for group, b in zip((cluster.entries, cluster.agents["pairing"]), cpu)]
     delta = {n: v - before[n] for n, v in counted().items()}
     starts = max(delta["tasks_started"], 1)
@@ -124,7 +125,7 @@
     commit = subprocess.run(["git", "rev-parse", "--short", "HEAD"], cwd=ROOT, capture_output=True, text=True).stdout.strip()
     print("commit %s; letter's size: %d workers, %d entries, %d starts/s" % (commit, WORKERS, ENTRIES, STARTS))
     print("%-7s %-46s %-30s %-22s %10s %8s" % ("role", "what grows", "measured at", "slope", "figure", "limit"))
-    rest, spreads, among = {}, {}, {}
+    rest, spreads, among, kept, costs = {}, {}, {}, {}, {}
     for n in ENTRY_SIZES:
         with Cluster(entries=n, services={}) as cluster:
             time.sleep(4)
@@ -135,11 +136,9 @@
             time.sleep(2)
             rest[size] = at_rest(cluster)
             spreads[size], document = spread(cluster)
-            if size == 33:
-                complete, record_bytes = records(cluster)
-                (entry_us, agent_us), delta = starts_cost(cluster)
-            if size == 11:
-                with_store = rest[size]["entry"]["store"]
+            if size in LOAD_SIZES:
+                kept[size] = records(cluster)
+                costs[size] = starts_cost(cluster, size)
 
     def slope(role, key, scale=1.0):
         points = [(size, rest[size][role][key] * scale) for size in SIZES]
@@ -157,17 +156,24 @@
     row("entry", "processor at rest, agents attached", at, "%.4f%% each" % per, base + per * ATTACHED, MAX_CORE, "%")
     at, base, per = slope("entry", "mb")
     row("entry", "memory at rest, agents attached", at, "%.3f MB each" % per, base + per * ATTACHED, MAX_MB, "MB")
-    row("entry", "processor for starts, a core's part", "33 agents", "%.1f us each" % entry_us, entry_us * STARTS / ENTRIES / 1e4, 100, "%")
+    both = [costs[n][0] for n in LOAD_SIZES]
+    at = "/".join("%.1f" % us[0] for us in both) + " us at 11/33"
+    row("entry", "processor for starts, a core's part", at, "each start", both[-1][0] * STARTS / ENTRIES / 1e4, 100, "%")
     at, base, per = slope("agent", "bytes")
     row("agent", "control bytes/s, agents in the set", at, "%.1f each" % per, rest[SIZES[-1]]["agent"]["bytes"], MAX_BYTES, "B/s")
     at, base, per = slope("agent", "cpu", 100)
     row("agent", "processor at rest, agents in the set", at, "%.4f%% each" % per, rest[SIZES[-1]]["agent"]["cpu"] * 100, MAX_CORE, "%")
-    row("agent", "processor for starts, a core's part", "33 agents", "%.1f us each" % agent_us, agent_us * STARTS / WORKERS / 1e4, 100, "%")
+    at = "/".join("%.1f" % us[1] for us in both) + " us at 11/33"
+    row("agent", "processor for starts, a core's part", at, "each start", both[-1][1] * STARTS / WORKERS / 1e4, 100, "%")
     at, base, per = slope("agent", "mb")
-    kept = record_bytes * STARTS / WORKERS * 600
-    row("agent", "memory: at rest, and 600 s of records", "%d requests" % complete, "%.0f B a record" % record_bytes, base + kept / 1e6, MAX_MB, "MB")
-    row("store", "calls/s, entries, at rest", "%.2f an entry" % with_store, "%.2f each" % with_store, with_store * ENTRIES, MAX_READS, "1/s")
+    at = "/".join("%.0f" % kept[n][1] for n in LOAD_SIZES) + " B at 11/33"
+    most = max(kept[n][1] for n in LOAD_SIZES) * STARTS / WORKERS * 600 / 1e6
+    row("agent", "memory: at rest, and 600 s of records", at, "each record", base + most, MAX_MB, "MB")
+    calls = rest[SIZES[0]]["entry"]["store"]
+    row("store", "calls/s, entries, at rest", "%.2f of one of 3" % calls, "each entry", calls * ENTRIES, MAX_READS, "1/s")
+    row("store", "calls/s of operators' changes", "2 calls a change", "", 2 * CHANGES_PER_DAY / DAY_S, MAX_READS, "1/s")
     row("system", "a change in force everywhere", "/".join("%.2f" % spreads[s] for s in SIZES), "s", max(spreads.values()), MAX_SPREAD_S, "s")
+    delta = costs[LOAD_SIZES[-1]][1]
     starts = delta["tasks_started"]
     extra = delta["offers_sent"] + delta["claims_sent"] + delta["empty_grants"]
     print("messages of agents for a start: %.3f with late binding; %.3f without its offers, claims and empty grants (%d starts)"
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <fstream>
 #include <iostream>
+#include <optional>
 #include <random>
 #include <sstream>
 #include <thread>
@@ -108,21 +109,25 @@
     return code;
 }
 
-int show(const Context &context, const std::vector<std::string> &)
+/// Asks an operator door. With --json prints the answer as it is; otherwise returns what is to be printed.
+std::optional<json::object> fetch(const Context &context, const char *target, int &code)
 {
     Client client(context.operators);
-    const CallAnswer answer = client.call("GET", "/v1/config", "", CallTimeout);
-    const int code = conclude(answer);
-    if (code != ExitOk) {
-        return code;
-    }
-    if (context.json) {
+    const CallAnswer answer = client.call("GET", target, "", CallTimeout);
+    code = conclude(answer);
+    if (code == ExitOk && context.json) {
         std::cout << answer.body;
-        return code;
     }
-    const json::object body = parseBody(answer.body);
-    std::cout << "revision " << textOf(body, "revision") << ", change " << textOf(body, "change_id") << "\n"
-              << textOf(body, "document") << "\n";
+    return code == ExitOk && !context.json ? std::optional<json::object>(parseBody(answer.body)) : std::nullopt;
+}
+
+int show(const Context &context, const std::vector<std::string> &)
+{
+    int code = ExitOk;
+    if (const std::optional<json::object> body = fetch(context, "/v1/config", code)) {
+        std::cout << "revision " << textOf(*body, "revision") << ", change " << textOf(*body, "change_id") << "\n"
+                  << textOf(*body, "document") << "\n";
+    }
     return code;
 }
 
@@ -209,17 +214,12 @@
 
 int status(const Context &context, const std::vector<std::string> &)
 {
-    Client client(context.operators);
-    const CallAnswer answer = client.call("GET", "/v1/status", "", CallTimeout);
-    const int code = conclude(answer);
-    if (code != ExitOk) {
+    int code = ExitOk;
+    const std::optional<json::object> answer = fetch(context, "/v1/status", code);
+    if (!answer) {
         return code;
     }
-    if (context.json) {
-        std::cout << answer.body;
-        return code;
-    }
-    const json::object body = parseBody(answer.body);
+    const json::object &body = *answer;
     std::cout << textOf(body, "role") << " " << textOf(body, "process") << " in " << textOf(body, "failure_domain")
               << ", revision " << textOf(body, "revision") << "\nentries:\n";
     for (const json::value &entry : body.at("entries").as_array()) {
--- a/src/core/agent_core.cpp
+++ b/src/core/agent_core.cpp
@@ -15,10 +15,6 @@
 /// How long a process stays after its records were taken, so that the entries have heard of it.
 constexpr Duration SuccessorToldFor = milliseconds(500);
 
-/// Heartbeats that a peer may miss before it gets no new work, and before it is forgotten.
-constexpr int MissedUntilSuspect = 3;
-constexpr int MissedUntilGone = 8;
-
 /// Rendezvous weight: every agent prefers other entries, and keeps its preference when the others change.
 std::size_t weightOf(const Endpoint &entry, const ProcessId &agent)
 {
@@ -31,6 +27,7 @@
     : m_settings(settings)
     , m_policies(std::move(policies))
     , m_random(settings.identity.seed)
+    , m_peers(m_settings.timing)
     , m_coordinator(m_settings, m_policies)
     , m_executor(m_settings, m_policies)
 { }
@@ -81,9 +78,7 @@
     if (hearing.ended) {
         onProcessEnded(step, *hearing.ended);
     }
-    if (envelope.to != Incarnation() && envelope.to != step.self().incarnation) {
-        step.count(Counter::WrongIncarnation);
-        step.sendControl(envelope.from, msg::Gone{envelope.to});
+    if (!isForThisLife(step, envelope)) {
         return;
     }
     dispatch(step, envelope.from, std::move(envelope.message), hearing.age);
@@ -253,16 +248,6 @@
     return brief;
 }
 
-Duration AgentCore::suspectAfter() const
-{
-    return std::max(m_settings.timing.suspectAfter, m_period * MissedUntilSuspect);
-}
-
-Duration AgentCore::goneAfter() const
-{
-    return std::max(m_settings.timing.goneAfter, m_period * MissedUntilGone);
-}
-
 void AgentCore::heartbeat(Step &step)
 {
     m_heartbeatDue = false;
@@ -276,16 +261,16 @@
 void AgentCore::tick(Step &step)
 {
     const Timing &timing = m_settings.timing;
-    m_peers.setSuspectAfter(suspectAfter());
+    m_peers.setPeriod(m_period);
     if (m_entries.empty()) {
         chooseEntries(step);
     }
     m_executor.tick(step);
     m_coordinator.tick(step, m_peers);
-    for (const Endpoint &endpoint : m_peers.dueForReplacement(step.now(), suspectAfter())) {
+    for (const Endpoint &endpoint : m_peers.dueForReplacement(step.now(), m_peers.suspectAfter())) {
         step.replaceConnection(endpoint);
     }
-    for (const ProcessId &silent : m_peers.forgetSilent(step.now(), goneAfter())) {
+    for (const ProcessId &silent : m_peers.forgetSilent(step.now(), m_peers.goneAfter())) {
         step.add(effect::ForgetConnection{silent.endpoint});
         const auto it = std::find(m_knownEntries.begin(), m_knownEntries.end(), silent.endpoint);
         if (it != m_knownEntries.end()) {
@@ -342,7 +327,7 @@
 void AgentCore::chooseSuccessor(Step &step)
 {
     m_triedSuccessors.insert(m_handover.successor());
-    for (const AgentBrief &brief : m_peers.usableAgents(step.now(), suspectAfter(), m_executor.service())) {
+    for (const AgentBrief &brief : m_peers.usableAgents(step.now(), m_peers.suspectAfter(), m_executor.service())) {
         if (brief.agent != step.self() && m_triedSuccessors.count(brief.agent) == 0) {
             m_handover.start(brief.agent, step.now());
             m_handover.tick(step);
@@ -396,8 +381,8 @@
     report.revision = m_config.revision();
     report.leaving = m_leaving;
     report.ready = m_executor.accepting(now);
-    report.entries = m_peers.entries(now, suspectAfter());
-    report.agents = m_peers.agents(now, goneAfter());
+    report.entries = m_peers.entries(now, m_peers.suspectAfter());
+    report.agents = m_peers.agents(now, m_peers.goneAfter());
     report.agents.push_back(ownBrief(now));
     report.jobs = m_coordinator.activeJobs();
     report.waitingTasks = m_coordinator.waitingTasks();
--- a/src/core/agent_core.h
+++ b/src/core/agent_core.h
@@ -33,8 +33,6 @@
     void stop(Step &step);
     void finishStep(Step &step);
     void heartbeat(Step &step);
-    Duration suspectAfter() const;
-    Duration goneAfter() const;
     void chooseEntries(Step &step);
     AgentBrief ownBrief(TimePoint now) const;
     StatusReport status(TimePoint now) const;
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -26,9 +26,6 @@
 constexpr double EntriesPart = 0.2;
 /// Bytes of a heartbeat between entries, sent and received.
 constexpr double EntryHeartbeatBytes = 200;
-/// Heartbeats that a peer may miss before it gets no new work, and before it is forgotten.
-constexpr int MissedUntilSuspect = 3;
-constexpr int MissedUntilGone = 8;
 /// The balancer takes this long at most to notice that the entry is not ready.
 constexpr Duration LeaveNoSoonerThan = milliseconds(1500);
 /// An entry of a system without agents becomes ready after this, to say so.
@@ -42,6 +39,7 @@
     : m_settings(settings)
     , m_policies(std::move(policies))
     , m_random(settings.identity.seed)
+    , m_peers(m_settings.timing)
     , m_calls(m_settings, m_policies, m_peers)
 { }
 
@@ -84,9 +82,7 @@
     if (hearing.ended) {
         m_calls.onProcessEnded(step, *hearing.ended);
     }
-    if (envelope.to != Incarnation() && envelope.to != step.self().incarnation) {
-        step.count(Counter::WrongIncarnation);
-        step.sendControl(envelope.from, msg::Gone{envelope.to});
+    if (!isForThisLife(step, envelope)) {
         return;
     }
     const ProcessId &from = envelope.from;
@@ -118,7 +114,7 @@
         m_calls.onSucceeded(step, coordinator, from);
     }
     msg::HeartbeatReply reply;
-    reply.entries = m_peers.entries(step.now(), suspectAfter());
+    reply.entries = m_peers.entries(step.now(), m_peers.suspectAfter());
     reply.entries.push_back(step.self());
     std::sort(reply.entries.begin(), reply.entries.end());
     reply.agents = sampleFor(step, heartbeat.brief);
@@ -133,7 +129,7 @@
     if (agent.service.empty()) {
         return sample;
     }
-    for (const AgentBrief &brief : m_peers.agents(step.now(), suspectAfter())) {
+    for (const AgentBrief &brief : m_peers.agents(step.now(), m_peers.suspectAfter())) {
         if (brief.service == agent.service && brief.agent != agent.agent) {
             sample.push_back(brief);
             // The receiver knows its own service, and needs no other's revision.
@@ -310,7 +306,7 @@
 
 void EntryCore::spreadConfig(Step &step)
 {
-    for (const ProcessId &peer : m_peers.behind(step.now(), suspectAfter(), m_config.revision())) {
+    for (const ProcessId &peer : m_peers.behind(step.now(), m_peers.suspectAfter(), m_config.revision())) {
         step.sendControl(peer, m_config.push());
     }
 }
@@ -325,7 +321,7 @@
     brief.leaving = m_leaving;
     std::vector<Endpoint> others = m_registered;
     others.insert(others.end(), m_settings.seeds.begin(), m_settings.seeds.end());
-    for (const ProcessId &entry : m_peers.entries(step.now(), goneAfter())) {
+    for (const ProcessId &entry : m_peers.entries(step.now(), m_peers.goneAfter())) {
         others.push_back(entry.endpoint);
     }
     std::sort(others.begin(), others.end());
@@ -347,15 +343,15 @@
     }
     const Timing &timing = m_settings.timing;
     paceHeartbeats(step);
-    m_peers.setSuspectAfter(suspectAfter());
+    m_peers.setPeriod(std::max(m_agentPeriod, m_entryPeriod));
     m_calls.tick(step);
     if (step.now() - m_lastHeartbeat >= std::max(timing.heartbeatEvery, m_entryPeriod)) {
         heartbeatEntries(step);
     }
-    for (const Endpoint &endpoint : m_peers.dueForReplacement(step.now(), suspectAfter())) {
+    for (const Endpoint &endpoint : m_peers.dueForReplacement(step.now(), m_peers.suspectAfter())) {
         step.replaceConnection(endpoint);
     }
-    for (const ProcessId &silent : m_peers.forgetSilent(step.now(), goneAfter())) {
+    for (const ProcessId &silent : m_peers.forgetSilent(step.now(), m_peers.goneAfter())) {
         step.add(effect::ForgetConnection{silent.endpoint});
     }
     drainIfDone(step);
@@ -374,7 +370,7 @@
 void EntryCore::paceHeartbeats(Step &step)
 {
     const std::int64_t attached =
-        std::max<std::int64_t>(1, static_cast<std::int64_t>(m_peers.agents(step.now(), goneAfter()).size()));
+        std::max<std::int64_t>(1, static_cast<std::int64_t>(m_peers.agents(step.now(), m_peers.goneAfter()).size()));
     const double budget = HeartbeatPart * m_settings.limits.controlBytesPerSecond;
     const std::int64_t room = static_cast<std::int64_t>(budget * NamedWithinS) / attached - ExchangeBytes;
     m_sampleSize = static_cast<std::size_t>(std::clamp(room / NamedAgentBytes, FewestNamed, MostNamed));
@@ -383,16 +379,6 @@
     m_agentPeriod = std::max(m_settings.timing.heartbeatEvery, Duration(static_cast<std::int64_t>(needed * 1e6)));
 }
 
-Duration EntryCore::suspectAfter() const
-{
-    return std::max(m_settings.timing.suspectAfter, std::max(m_agentPeriod, m_entryPeriod) * MissedUntilSuspect);
-}
-
-Duration EntryCore::goneAfter() const
-{
-    return std::max(m_settings.timing.goneAfter, std::max(m_agentPeriod, m_entryPeriod) * MissedUntilGone);
-}
-
 bool EntryCore::ready(TimePoint now) const
 {
     // An entry that has just started knows no agent yet and would refuse what its neighbours can serve.
@@ -409,9 +395,9 @@
     report.revision = m_config.revision();
     report.leaving = m_leaving;
     report.ready = ready(now);
-    report.entries = m_peers.entries(now, suspectAfter());
+    report.entries = m_peers.entries(now, m_peers.suspectAfter());
     report.entries.push_back(m_settings.identity.self);
-    report.agents = m_peers.agents(now, suspectAfter());
+    report.agents = m_peers.agents(now, m_peers.suspectAfter());
     report.pendingCalls = m_calls.size();
     report.counters = m_counters;
     return report;
--- a/src/core/entry_core.h
+++ b/src/core/entry_core.h
@@ -29,8 +29,6 @@
     void drainIfDone(Step &step);
     std::vector<AgentBrief> sampleFor(Step &step, const AgentBrief &agent);
     void paceHeartbeats(Step &step);
-    Duration suspectAfter() const;
-    Duration goneAfter() const;
     bool ready(TimePoint now) const;
     StatusReport status(TimePoint now) const;
     void reply(Step &step, CallerTag tag, CallerReply reply);
--- a/src/core/peer_table.cpp
+++ b/src/core/peer_table.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+/// Heartbeats that a peer may miss before it gets no new work, and before it is forgotten.
+constexpr int MissedUntilSuspect = 3;
+constexpr int MissedUntilGone = 8;
 /// Clocks drift apart, so a quick message is good for two of these periods only.
 constexpr Duration EchoPeriod = seconds(10);
 
@@ -19,6 +22,16 @@
 
 } // namespace
 
+Duration PeerTable::suspectAfter() const noexcept
+{
+    return std::max(m_timing.suspectAfter, m_period * MissedUntilSuspect);
+}
+
+Duration PeerTable::goneAfter() const noexcept
+{
+    return std::max(m_timing.goneAfter, m_period * MissedUntilGone);
+}
+
 PeerTable::Hearing PeerTable::heard(TimePoint now, const Envelope &envelope)
 {
     Hearing hearing;
--- a/src/core/peer_table.h
+++ b/src/core/peer_table.h
@@ -25,6 +25,9 @@
 class PeerTable
 {
 public:
+    explicit PeerTable(const Timing &timing)
+        : m_timing(timing)
+    { }
     /// Whether a message is to be handled, how old it can be at most, and which earlier life it has shown to be over.
     struct Hearing
     {
@@ -54,16 +57,17 @@
     /// The incarnation last heard at an address.
     std::optional<Incarnation> incarnationAt(const Endpoint &endpoint) const;
 
-    /// The silence after which a peer gets no new work; grows with the time between heartbeats.
-    void setSuspectAfter(Duration silence) noexcept
+    /// How far apart heartbeats are; the limits on silence grow with it.
+    void setPeriod(Duration period) noexcept
     {
-        m_suspectAfter = silence;
+        m_period = period;
     }
 
-    Duration suspectAfter() const noexcept
-    {
-        return m_suspectAfter;
-    }
+    /// The silence after which a peer gets no new work.
+    Duration suspectAfter() const noexcept;
+
+    /// The silence after which a peer is forgotten.
+    Duration goneAfter() const noexcept;
 
     /// Agents of a service that are neither silent nor leaving.
     std::vector<AgentBrief> usableAgents(TimePoint now, Duration silence, const std::string &service) const;
@@ -96,7 +100,8 @@
 
     void noteTime(TimePoint now, const Envelope &envelope);
 
-    Duration m_suspectAfter = milliseconds(1600);
+    const Timing &m_timing;
+    Duration m_period{0};
     std::map<Endpoint, Peer> m_peers;
     std::unordered_map<Endpoint, Quickest, IdHash> m_quickest;
 };
--- a/src/core/step.cpp
+++ b/src/core/step.cpp
@@ -39,6 +39,16 @@
     return envelope;
 }
 
+bool isForThisLife(Step &step, const Envelope &envelope)
+{
+    if (envelope.to == Incarnation() || envelope.to == step.self().incarnation) {
+        return true;
+    }
+    step.count(Counter::WrongIncarnation);
+    step.sendControl(envelope.from, msg::Gone{envelope.to});
+    return false;
+}
+
 void invariantBroken(const char *what, const char *file, int line) noexcept
 {
     std::fprintf(stderr, "invariant broken: %s (%s:%d)\n", what, file, line);
--- a/src/core/step.h
+++ b/src/core/step.h
@@ -100,6 +100,9 @@
     std::deque<Envelope> m_loopback;
 };
 
+/// Whether a message is meant for this life of the process, or for whichever is there; if not, its sender is told.
+bool isForThisLife(Step &step, const Envelope &envelope);
+
 /// Stops the process when an invariant does not hold; active in all builds.
 #define CUMINSCALE_INVARIANT(condition, what) \
     do { \
