--- a/src/adapters/etcd_store.cpp
+++ b/src/adapters/etcd_store.cpp
@@ -310,7 +310,7 @@
                      self->endWrite(write, event::StoreWriteEnded::How::Written, current);
                      return;
                  }
-                 if (current.revision != write->effect.base) {
+                 if (write->effect.lookOnly || current.revision != write->effect.base) {
                      self->endWrite(write, event::StoreWriteEnded::How::Conflict, current);
                      return;
                  }
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -243,18 +243,16 @@
         reply(step, tag, std::move(answer));
         return;
     }
-    if (call.base < m_config.revision()) {
-        CallerReply answer;
-        answer.kind = CallerReply::Kind::Conflict;
-        answer.text = m_config.version().document;
-        answer.revision = m_config.revision();
-        answer.changeId = m_config.version().changeId;
-        reply(step, tag, std::move(answer));
+    if (!m_settings.hasStore) {
+        refuse(step, tag, CallerReply::Kind::Refused, "This entry has no store in its settings.");
         return;
     }
-    const ConfigVersion next{Revision(call.base.value() + 1), std::move(call.changeId), std::move(call.document)};
+    // Below the revision in force nothing is written, whatever a restored store holds; but the change may have been accepted
+    // earlier and been followed by others, which only the store's list of recent changes can tell.
+    const bool outOfDate = call.base < m_config.revision();
+    const ConfigVersion next{Revision(call.base.value() + 1), std::move(call.changeId), std::move(call.document), {}};
     m_writes.emplace(tag, next);
-    step.add(effect::WriteConfig{tag, call.base, next});
+    step.add(effect::WriteConfig{tag, call.base, next, outOfDate});
 }
 
 void EntryCore::onWriteEnded(Step &step, const event::StoreWriteEnded &ended)
@@ -275,10 +273,11 @@
         break;
     case event::StoreWriteEnded::How::Conflict:
         onConfigSeen(step, ended.current, true);
+        // What the operator has to start from is what is in force, which a restored store may be behind.
         answer.kind = CallerReply::Kind::Conflict;
-        answer.text = ended.current.document;
-        answer.revision = ended.current.revision;
-        answer.changeId = ended.current.changeId;
+        answer.text = m_config.version().document;
+        answer.revision = m_config.revision();
+        answer.changeId = m_config.version().changeId;
         break;
     case event::StoreWriteEnded::How::Unreachable:
         answer.kind = CallerReply::Kind::Applied;
@@ -300,7 +299,7 @@
     }
     if (verdict == ConfigKeeper::Verdict::Older && fromStore) {
         step.log(LogLevel::Warning, Part, "The store holds an older configuration than the one in force; it is written back.");
-        step.add(effect::WriteConfig{NoCaller, version.revision, m_config.version()});
+        step.add(effect::WriteConfig{NoCaller, version.revision, m_config.version(), false});
     }
 }
 
--- a/src/core/events.h
+++ b/src/core/events.h
@@ -257,6 +257,7 @@
     CallerTag tag;
     Revision base;
     ConfigVersion next;
+    bool lookOnly = false; ///< Only tell whether the change was made earlier: the base is known to be out of date.
 };
 
 /// One line for the log.
--- a/src/core/pending_calls.cpp
+++ b/src/core/pending_calls.cpp
@@ -278,17 +278,24 @@
         return;
     }
     const Call &call = it->second;
-    if (call.kind == Kind::Request && call.bodiesSent > 0) {
-        step.send(m_policies.locator->locate(call.id), msg::Cancel{call.id, call.member});
-    }
-    if (call.hedge != SubmissionId()) {
-        step.send(m_policies.locator->locate(call.hedge), msg::Cancel{call.hedge, call.member});
-    }
+    cancelAttempts(step, call);
     unlink(call.id, tag);
     unlink(call.hedge, tag);
     m_calls.erase(it);
 }
 
+void PendingCalls::cancelAttempts(Step &step, const Call &call)
+{
+    if (call.kind != Kind::Request) {
+        return;
+    }
+    for (const SubmissionId &id : {call.id, call.hedge}) {
+        if (id != SubmissionId()) {
+            step.send(m_policies.locator->locate(id), msg::Cancel{id, call.member});
+        }
+    }
+}
+
 void PendingCalls::unlink(const SubmissionId &id, CallerTag tag)
 {
     const auto range = m_byId.equal_range(id);
@@ -552,9 +559,7 @@
             refuse(step, tag, CallerReply::Kind::Refused, "No coordinator handed out an id in time.");
             continue;
         }
-        if (call.kind == Kind::Request && call.bodiesSent > 0) {
-            step.send(m_policies.locator->locate(call.id), msg::Cancel{call.id, call.member});
-        }
+        cancelAttempts(step, call);
         answerUnknown(step, tag, "The coordinator did not answer in time.");
     }
 }
--- a/src/core/pending_calls.h
+++ b/src/core/pending_calls.h
@@ -105,6 +105,8 @@
     void answerUnknown(Step &step, CallerTag tag, std::string reason);
     void refuse(Step &step, CallerTag tag, CallerReply::Kind kind, std::string reason);
     void finish(Step &step, CallerTag tag, CallerReply reply);
+    /// A request that nobody waits for any more is not to be started.
+    void cancelAttempts(Step &step, const Call &call);
     void unlink(const SubmissionId &id, CallerTag tag);
 
     const CoreSettings &m_settings;
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -52,6 +52,7 @@
     Timing timing;
     Limits limits;
     std::vector<Endpoint> seeds; ///< Peer addresses of some entries.
+    bool hasStore = true; ///< Entries: whether the platform's store is named in the settings.
     std::uint32_t attachEntries = 3; ///< Entries that an agent heartbeats to.
 };
 
--- a/src/daemon/settings_file.cpp
+++ b/src/daemon/settings_file.cpp
@@ -167,6 +167,7 @@
     BOOST_LEAF_CHECK(readHttp(http, settings));
     BOOST_LEAF_AUTO(store, root.object("store"));
     BOOST_LEAF_CHECK(readStore(store, settings));
+    settings.core.hasStore = !settings.store.endpoints.empty();
     BOOST_LEAF_AUTO(timing, root.object("timing"));
     BOOST_LEAF_CHECK(readTiming(timing, settings.core.timing));
     BOOST_LEAF_AUTO(limits, root.object("limits"));
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -154,7 +154,7 @@
         with open(path, "w") as file:
             json.dump({"services": {SERVICE: {"kinds": {"k": {"urgency": i}}}}}, file)
         paths.append(path)
-    ok = cluster.cli("apply", paths[0], "--wait").returncode == 0
+    ok = cluster.cli("apply", paths[0], "--wait", "--change", "first").returncode == 0
     base = json.loads(cluster.cli("show", "--json").stdout)["revision"]
     outcomes = []
 
@@ -170,6 +170,9 @@
     lost = cluster.cli("apply", paths[1], "--wait")
     http("POST", control, "/control", '{"mode": "up"}')
     shown = json.loads(cluster.cli("show", "--json").stdout)
+    # A change that was accepted and followed by others is still told as accepted, whatever base it names.
+    ok = ok and cluster.cli("apply", paths[0], "--base", "0", "--change", "first").returncode == 0
+    ok = ok and cluster.cli("apply", paths[0], "--base", "0", "--change", "never").returncode == 5
     bad = cluster.cli("apply", "/dev/null").returncode
     print("two operators at once: exit codes", sorted(outcomes), "| lost answer:", lost.returncode, lost.stdout.strip().replace("\n", "; "),
           "| revision", shown["revision"], "| empty file:", bad)
