A process that is too busy no longer says 'not run' of a job

Cause: with a ring full or a duty behind, a resubmitted job was refused as not run by a process that could not know whether it had come through another entry; and three places rendered the word on their own. Change: tooBusy() answers jobs as unknown and the rest as not run; every 'not-run' on the wire is rendered from a NotRun made by Refusal, also for input that the HTTP server turns away. Ruled out: leaving 400 and 413 as they are for want of a NotRun: they now pass through Refusal as well. That a body which fails its checks under an id has not run rests on all entries having the same limits. Conclusion: one place creates the statement.

--- a/src/adapters/caller_api.cpp
+++ b/src/adapters/caller_api.cpp
@@ -3,6 +3,7 @@
 #include "adapters/status_render.h"
 #include "adapters/trace_header.h"
 #include "core/json_reader.h"
+#include "core/refusal.h"
 
 #include <boost/json.hpp>
 #include <boost/leaf/handle_errors.hpp>
@@ -336,12 +337,7 @@
 
 void addOutcome(HttpResponse &response, const CallerReply &reply)
 {
-    response.headers.emplace_back("Cuminscale-Outcome", toString(reply.outcome));
-    if (const NotRun *notRun = std::get_if<NotRun>(&reply.outcome);
-        notRun != nullptr && notRun->retryAfter() > Duration::zero()) {
-        const std::int64_t whole = std::chrono::ceil<seconds>(notRun->retryAfter()).count();
-        response.headers.emplace_back("Retry-After", std::to_string(whole));
-    }
+    response.headers = outcomeHeaders(reply.outcome);
     if (reply.trace.traceLow != 0) {
         response.headers.emplace_back("traceparent", renderTraceparent(reply.trace));
     }
@@ -366,12 +362,21 @@
         });
 }
 
+std::vector<HttpHeader> outcomeHeaders(const Outcome &outcome)
+{
+    std::vector<HttpHeader> headers{{"Cuminscale-Outcome", toString(outcome)}};
+    if (const NotRun *notRun = std::get_if<NotRun>(&outcome); notRun != nullptr && notRun->retryAfter() > Duration::zero()) {
+        headers.emplace_back("Retry-After", std::to_string(std::chrono::ceil<seconds>(notRun->retryAfter()).count()));
+    }
+    return headers;
+}
+
 HttpResponse renderError(const ApiError &error)
 {
     HttpResponse response;
     response.status = error.status;
     response.body = renderLine(json::object{{"error", error.reason}});
-    response.headers.emplace_back("Cuminscale-Outcome", "not-run");
+    response.headers = outcomeHeaders(Refusal::beforeSending(error.reason));
     return response;
 }
 
--- a/src/adapters/caller_api.h
+++ b/src/adapters/caller_api.h
@@ -36,4 +36,7 @@
 /// Renders a call that was turned away: nothing of it has run.
 HttpResponse renderError(const ApiError &error);
 
+/// The headers of an answer with this outcome.
+std::vector<HttpHeader> outcomeHeaders(const Outcome &outcome);
+
 } // namespace cuminscale
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -169,7 +169,7 @@
     HttpResponse response;
     response.status = status;
     response.body = "{\"error\":\"" + reason + "\"}\n";
-    response.headers.emplace_back("Cuminscale-Outcome", "not-run");
+    response.headers = m_shared->limits.refusalHeaders;
     respond(m_exchangeNumber, std::move(response));
 }
 
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -22,6 +22,7 @@
     std::size_t maxBodyBytes = 8U << 20U;
     std::size_t maxHeaderBytes = 16U << 10U;
     std::size_t maxConnections = 4096;
+    std::vector<HttpHeader> refusalHeaders; ///< Added where a request is refused before any handler sees it.
     Duration idleTimeout = seconds(120); ///< Between two requests, and for a request to arrive whole.
     Duration writeTimeout = seconds(20); ///< For a caller to read its answer.
 };
--- a/src/daemon/decision_loop.cpp
+++ b/src/daemon/decision_loop.cpp
@@ -1,6 +1,6 @@
 #include "daemon/decision_loop.h"
 
-#include "core/refusal.h"
+#include "core/busy.h"
 
 namespace cuminscale
 {
@@ -11,7 +11,6 @@
 constexpr Duration TickEvery = milliseconds(20);
 /// Events taken from one source before the others have their turn.
 constexpr std::size_t Burst = 64;
-constexpr Duration CongestedRetryAfter = seconds(1);
 
 /// Whether an event asks for new work, which may be refused while the process is behind.
 bool asksForWork(const Event &event)
@@ -88,11 +87,8 @@
 void DecisionLoop::take(Event &&event)
 {
     if (asksForWork(event) && congested()) {
-        CallerReply reply;
-        reply.kind = CallerReply::Kind::Refused;
-        reply.text = "This process is too busy.";
-        reply.outcome = Refusal::beforeSending(reply.text, CongestedRetryAfter);
-        m_effects.push_back(effect::ReplyCaller{std::get<event::CallerAsked>(event).tag, std::move(reply)});
+        const event::CallerAsked &asked = std::get<event::CallerAsked>(event);
+        m_effects.push_back(effect::ReplyCaller{asked.tag, tooBusy(asked.call)});
         return;
     }
     m_core.handle(m_clock(), std::move(event), m_effects);
--- a/src/daemon/doors.cpp
+++ b/src/daemon/doors.cpp
@@ -2,6 +2,8 @@
 
 #include "adapters/announcement.h"
 #include "adapters/status_render.h"
+#include "core/busy.h"
+#include "core/refusal.h"
 
 namespace cuminscale
 {
@@ -27,13 +29,15 @@
     , m_sink(sink)
     , m_sources(std::move(sources))
 {
+    HttpLimits limits = settings.http;
+    limits.refusalHeaders = outcomeHeaders(Refusal::beforeSending("The request is not one that this process takes."));
     if (settings.role == Role::Entry) {
-        m_callers = std::make_unique<HttpServer>(context, settings.callerListen, settings.http,
+        m_callers = std::make_unique<HttpServer>(context, settings.callerListen, limits,
                                                  [this](HttpRequest &&request, const std::shared_ptr<HttpExchange> &exchange) {
                                                      onRequest(Door::Caller, std::move(request), exchange);
                                                  });
     }
-    m_operators = std::make_unique<HttpServer>(context, settings.operatorListen, settings.http,
+    m_operators = std::make_unique<HttpServer>(context, settings.operatorListen, limits,
                                                [this](HttpRequest &&request, const std::shared_ptr<HttpExchange> &exchange) {
                                                    onRequest(Door::Operator, std::move(request), exchange);
                                                });
@@ -90,7 +94,7 @@
     m_nextTag = CallerTag(tag.value() + 1);
     Event event = event::CallerAsked{tag, std::move(call)};
     if (!m_sink.offer(event)) {
-        exchange->respond(renderError(ApiError{503, "This process is too busy."}));
+        exchange->respond(renderReply(tooBusy(std::get<event::CallerAsked>(event).call)));
         return;
     }
     m_waiting.emplace(tag, Waiting{exchange, form});
--- a/tests/caller_api_tests.cpp
+++ b/tests/caller_api_tests.cpp
@@ -2,6 +2,7 @@
 #include "adapters/caller_api.h"
 #include "adapters/etcd_messages.h"
 #include "adapters/trace_header.h"
+#include "core/busy.h"
 #include "core/refusal.h"
 
 #include <catch2/catch.hpp>
@@ -82,6 +83,20 @@
     REQUIRE(renderReply(reply).header("Cuminscale-Outcome") == "ran");
 }
 
+TEST_CASE("a busy entry does not speak for a job that may have come through another")
+{
+    const std::variant<CallerCall, ApiError> job = parse("PUT", "/v1/services/s/jobs/" + Id, Job);
+    const HttpResponse unknown = renderReply(tooBusy(std::get<CallerCall>(job)));
+    REQUIRE(unknown.status == 504);
+    REQUIRE(unknown.header("Cuminscale-Outcome") == "unknown");
+    const std::variant<CallerCall, ApiError> request =
+        parse("POST", "/v1/services/s/requests", R"({"member": "m", "kind": "k"})");
+    const HttpResponse refused = renderReply(tooBusy(std::get<CallerCall>(request)));
+    REQUIRE(refused.status == 503);
+    REQUIRE(refused.header("Cuminscale-Outcome") == "not-run");
+    REQUIRE(refused.header("Retry-After") == "1");
+}
+
 TEST_CASE("announcements of backend servers are checked")
 {
     const std::variant<event::BackendAnnounced, ApiError> good =
