--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -91,7 +91,8 @@
     """The tests of the scripts and of the operators' module."""
     results = []
     for folder in ("operators", "tools"):
-        if not [n for n in os.listdir(os.path.join(ROOT, folder)) if n.startswith("test_")]:
+        path = os.path.join(ROOT, folder)
+        if not os.path.isdir(path) or not any(name.startswith("test_") for name in os.listdir(path)):
             continue
         done = subprocess.run([sys.executable, "-m", "unittest", "discover", "-v", "-s", folder], cwd=ROOT, capture_output=True, text=True)
         for line in re.findall(r"^(test\w* .*) \.\.\. (ok|FAIL|ERROR)", done.stderr, re.M):
