The whole path on the platform: jobs of clients' ids are coordinated by entries and run by agents

Ruled out: minting ids and coordinating at agents for these jobs (a hop and bytes for nothing that is kept). The former interface stays as it was.

--- /dev/null
+++ b/src/adapters/dispatch_codec.cpp
@@ -0,0 +1,314 @@
+#include "adapters/dispatch_codec.h"
+
+#include "proto/dispatch.pb.h"
+
+namespace cuminscale::dispatch
+{
+
+namespace
+{
+
+constexpr std::uint32_t MaxPort = 65535;
+
+void put(const Endpoint &from, wire::Address *to)
+{
+    to->set_ip(from.ip);
+    to->set_port(from.port);
+}
+
+void put(const Resources &from, wire::Amount *to)
+{
+    to->set_cpu_milli(from.cpuMilli);
+    to->set_memory_mb(from.memoryMb);
+    to->set_accelerators(from.accelerators);
+}
+
+void put(const RunRef &from, wire::Run *to)
+{
+    to->set_job(std::string(from.task.job.text()));
+    to->set_step(from.task.step);
+    to->set_index(from.task.index);
+    to->set_run(from.run.value());
+}
+
+void put(const RunEvent &from, wire::RunEvent *to)
+{
+    to->set_number(from.number);
+    put(from.run, to->mutable_run());
+    to->set_kind(static_cast<std::uint32_t>(from.kind));
+    to->set_end(static_cast<std::uint32_t>(from.end));
+    to->set_reason(static_cast<std::uint32_t>(from.reason));
+    to->set_ran_us(from.ran.count());
+    to->set_late_server(from.lateServer);
+}
+
+void put(const ServerLoad &from, wire::Load *to)
+{
+    to->set_accepting(from.accepting);
+    to->set_draining(from.draining);
+    put(from.capacity, to->mutable_capacity());
+    put(from.free, to->mutable_free());
+    to->set_queued_cpu_milli(from.queuedCpuMilli);
+    to->set_queued_work(from.queuedWork);
+    to->set_running_work(from.runningWork);
+    for (const std::string &label : from.labels) {
+        to->add_labels(label);
+    }
+}
+
+struct MessageEncoder
+{
+    wire::Envelope &to;
+
+    void operator()(const StartOrder &from) const
+    {
+        wire::StartOrder *order = to.mutable_start();
+        order->set_number(from.number);
+        order->set_job(std::string(from.job.text()));
+        order->set_step(from.step);
+        put(from.need, order->mutable_need());
+        order->set_estimate_us(from.estimate.count());
+        order->set_in_time_within_us(from.inTimeWithin.count());
+        order->set_start_within_us(from.startWithin.count());
+        if (from.payload) {
+            order->set_payload(*from.payload);
+        }
+        for (const OrderedRun &run : from.runs) {
+            wire::OrderedRun *ordered = order->add_runs();
+            ordered->set_index(run.index);
+            ordered->set_run(run.run.value());
+        }
+    }
+
+    void operator()(const StopOrder &from) const
+    {
+        wire::StopOrder *order = to.mutable_stop();
+        for (const RunRef &run : from.runs) {
+            put(run, order->add_runs());
+        }
+    }
+
+    void operator()(const AgentReport &from) const
+    {
+        wire::AgentReport *report = to.mutable_agent();
+        report->set_service(from.service);
+        report->set_domain(from.domain);
+        put(from.load, report->mutable_load());
+        report->set_orders_seen(from.ordersSeen);
+        for (const RunEvent &event : from.events) {
+            put(event, report->add_events());
+        }
+    }
+
+    void operator()(const EntryReport &from) const
+    {
+        wire::EntryReport *report = to.mutable_entry();
+        for (const Endpoint &entry : from.entries) {
+            put(entry, report->add_entries());
+        }
+        for (const JobId &job : from.activeJobs) {
+            report->add_active_jobs(std::string(job.text()));
+        }
+    }
+
+    void operator()(const JoinJob &from) const
+    {
+        to.mutable_join()->set_job(std::string(from.job.text()));
+    }
+
+    void operator()(const JobStanding &from) const
+    {
+        to.mutable_standing()->set_job(std::string(from.job.text()));
+        to.mutable_standing()->set_state(static_cast<std::uint32_t>(from.state));
+    }
+
+    void operator()(const CancelJob &from) const
+    {
+        to.mutable_cancel()->set_job(std::string(from.job.text()));
+    }
+
+    void operator()(const ConfigBlob &from) const
+    {
+        to.mutable_config()->set_version(from.version);
+        to.mutable_config()->set_document(from.document);
+    }
+};
+
+/// Reads the parts of a message, and remembers whether any of them is not what an encoder writes.
+class Reader
+{
+public:
+    bool good() const noexcept
+    {
+        return m_good;
+    }
+
+    Endpoint readAddress(const wire::Address &from)
+    {
+        m_good = m_good && from.port() <= MaxPort;
+        return Endpoint{from.ip(), static_cast<std::uint16_t>(from.port())};
+    }
+
+    Message readMessage(const wire::Envelope &from);
+
+private:
+    template <typename Enum>
+    Enum readEnum(std::uint32_t value, Enum last)
+    {
+        if (value > static_cast<std::uint32_t>(last)) {
+            m_good = false;
+            return last;
+        }
+        return static_cast<Enum>(value);
+    }
+
+    JobId readJob(const std::string &text)
+    {
+        const std::optional<JobId> id = JobId::parse(text);
+        m_good = m_good && id.has_value();
+        return id.value_or(JobId());
+    }
+
+    RunRef readRun(const wire::Run &from);
+    StartOrder readStart(const wire::StartOrder &from);
+    AgentReport readAgent(const wire::AgentReport &from);
+
+    bool m_good = true;
+};
+
+Resources readAmount(const wire::Amount &from)
+{
+    return Resources{from.cpu_milli(), from.memory_mb(), from.accelerators()};
+}
+
+RunRef Reader::readRun(const wire::Run &from)
+{
+    return RunRef{TaskRef{readJob(from.job()), 0, from.step(), from.index()}, RunNumber(from.run())};
+}
+
+StartOrder Reader::readStart(const wire::StartOrder &from)
+{
+    StartOrder order;
+    order.number = from.number();
+    order.job = readJob(from.job());
+    order.step = from.step();
+    order.need = readAmount(from.need());
+    order.estimate = Duration(from.estimate_us());
+    order.inTimeWithin = Duration(from.in_time_within_us());
+    order.startWithin = Duration(from.start_within_us());
+    order.payload = std::make_shared<const std::string>(from.payload());
+    for (const wire::OrderedRun &run : from.runs()) {
+        order.runs.push_back(OrderedRun{run.index(), RunNumber(run.run())});
+    }
+    return order;
+}
+
+AgentReport Reader::readAgent(const wire::AgentReport &from)
+{
+    AgentReport report;
+    report.service = from.service();
+    report.domain = from.domain();
+    report.load.accepting = from.load().accepting();
+    report.load.draining = from.load().draining();
+    report.load.capacity = readAmount(from.load().capacity());
+    report.load.free = readAmount(from.load().free());
+    report.load.queuedCpuMilli = from.load().queued_cpu_milli();
+    report.load.queuedWork = from.load().queued_work();
+    report.load.runningWork = from.load().running_work();
+    report.load.labels.assign(from.load().labels().begin(), from.load().labels().end());
+    report.ordersSeen = from.orders_seen();
+    for (const wire::RunEvent &event : from.events()) {
+        RunEvent read;
+        read.number = event.number();
+        read.run = readRun(event.run());
+        read.kind = readEnum(event.kind(), RunEvent::Kind::Ended);
+        read.end = readEnum(event.end(), RunEnd::NeverStarted);
+        read.reason = readEnum(event.reason(), RefusalReason::Cancelled);
+        read.ran = Duration(event.ran_us());
+        read.lateServer = event.late_server();
+        report.events.push_back(read);
+    }
+    return report;
+}
+
+Message Reader::readMessage(const wire::Envelope &from)
+{
+    switch (from.message_case()) {
+    case wire::Envelope::kStart:
+        return readStart(from.start());
+    case wire::Envelope::kStop: {
+        StopOrder order;
+        for (const wire::Run &run : from.stop().runs()) {
+            order.runs.push_back(readRun(run));
+        }
+        return order;
+    }
+    case wire::Envelope::kAgent:
+        return readAgent(from.agent());
+    case wire::Envelope::kEntry: {
+        EntryReport report;
+        for (const wire::Address &entry : from.entry().entries()) {
+            report.entries.push_back(readAddress(entry));
+        }
+        for (const std::string &job : from.entry().active_jobs()) {
+            report.activeJobs.push_back(readJob(job));
+        }
+        return report;
+    }
+    case wire::Envelope::kJoin:
+        return JoinJob{readJob(from.join().job())};
+    case wire::Envelope::kStanding:
+        return JobStanding{readJob(from.standing().job()), readEnum(from.standing().state(), JobStanding::State::Cancelled)};
+    case wire::Envelope::kCancel:
+        return CancelJob{readJob(from.cancel().job())};
+    case wire::Envelope::kConfig:
+        return ConfigBlob{from.config().version(), from.config().document()};
+    case wire::Envelope::MESSAGE_NOT_SET:
+        break;
+    }
+    m_good = false;
+    return EntryReport();
+}
+
+} // namespace
+
+std::string encode(const Envelope &envelope)
+{
+    wire::Envelope to;
+    put(envelope.from.endpoint, to.mutable_from());
+    to.set_from_incarnation(envelope.from.incarnation.value());
+    to.set_to_incarnation(envelope.toIncarnation.value());
+    to.set_from_entry(envelope.fromEntry);
+    to.set_sent_at_us(envelope.sentAt.time_since_epoch().count());
+    to.set_echo_of_us(envelope.echoOf.time_since_epoch().count());
+    to.set_echo_held_us(envelope.echoHeld.count());
+    to.set_events_seen(envelope.eventsSeen);
+    to.set_config_version(envelope.configVersion);
+    std::visit(MessageEncoder{to}, envelope.message);
+    return to.SerializeAsString();
+}
+
+std::optional<Envelope> decode(std::string_view bytes)
+{
+    wire::Envelope from;
+    if (!from.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return std::nullopt;
+    }
+    Reader reader;
+    Envelope envelope;
+    envelope.from = ProcessId{reader.readAddress(from.from()), Incarnation(from.from_incarnation())};
+    envelope.toIncarnation = Incarnation(from.to_incarnation());
+    envelope.fromEntry = from.from_entry();
+    envelope.sentAt = TimePoint(Duration(from.sent_at_us()));
+    envelope.echoOf = TimePoint(Duration(from.echo_of_us()));
+    envelope.echoHeld = Duration(from.echo_held_us());
+    envelope.eventsSeen = from.events_seen();
+    envelope.configVersion = from.config_version();
+    envelope.message = reader.readMessage(from);
+    if (!reader.good()) {
+        return std::nullopt;
+    }
+    return envelope;
+}
+
+} // namespace cuminscale::dispatch
--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -166,6 +166,9 @@
     void finish(const std::shared_ptr<Call> &call, HttpEnd end, bool reusable)
     {
         m_calls.erase(call->ticket);
+        if (end == HttpEnd::Lost) {
+            dropIdle(call->server);
+        }
         HttpOutcome outcome;
         outcome.end = end;
         if (end == HttpEnd::Answered) {
@@ -188,6 +191,14 @@
         done(std::move(outcome));
     }
 
+    /// Whatever made one connection silent may have lost track of the idle ones too; they would only show it by a timeout.
+    void dropIdle(const Endpoint &server)
+    {
+        std::vector<std::unique_ptr<Connection>> &idle = m_idle[server];
+        m_open[server] -= idle.size();
+        idle.clear();
+    }
+
     asio::io_context &m_context;
     std::size_t m_maxConnections;
     Ticket m_lastTicket = 0;
--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -259,6 +259,11 @@
         return Endpoint{local.address().to_v4().to_uint(), local.port()};
     }
 
+    void setLimits(const HttpLimits &limits)
+    {
+        m_shared->limits = limits;
+    }
+
     void startDraining()
     {
         m_shared->draining = true;
@@ -300,6 +305,11 @@
     return m_impl->endpoint();
 }
 
+void HttpServer::setLimits(const HttpLimits &limits)
+{
+    m_impl->setLimits(limits);
+}
+
 void HttpServer::startDraining()
 {
     m_impl->startDraining();
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -57,6 +57,9 @@
     /// Where it listens, with the port that the system picked.
     Endpoint endpoint() const;
 
+    /// Puts other bounds in force for requests that are read from now on.
+    void setLimits(const HttpLimits &limits);
+
     /// Answers what is in progress, and closes every connection after its answer. Connections keep being accepted, so that
     /// a balancer which has not noticed yet still reaches somebody.
     void startDraining();
--- /dev/null
+++ b/src/adapters/zmq_link.cpp
@@ -0,0 +1,188 @@
+#include "adapters/zmq_link.h"
+
+#include "adapters/dispatch_codec.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/post.hpp>
+
+#include <map>
+#include <zmq.hpp>
+
+namespace cuminscale
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Messages that wait for one peer. A peer that is further behind gets repeats later; an order that waits goes stale anyway.
+constexpr int HighWaterMark = 1000;
+constexpr std::int64_t MaxMessageBytes = 16 << 20;
+constexpr int ReconnectMs = 50;
+constexpr int ReconnectMaxMs = 400;
+/// A connection attempt into a partition is given up, so that the next one finds the path once it is back.
+constexpr int ConnectTimeoutMs = 600;
+constexpr int MaxSockets = 8192;
+/// Messages read before timers and HTTP have their turn.
+constexpr int ReadBurst = 64;
+
+} // namespace
+
+class ZmqLink::Impl : public std::enable_shared_from_this<ZmqLink::Impl>
+{
+public:
+    Impl(asio::io_context &context, const Endpoint &listen, Handler handler)
+        : m_context(context)
+        , m_zmq(1, MaxSockets)
+        , m_router(m_zmq, zmq::socket_type::router)
+        , m_readable(context)
+        , m_handler(std::move(handler))
+    {
+        m_router.set(zmq::sockopt::linger, 0);
+        m_router.set(zmq::sockopt::rcvhwm, HighWaterMark);
+        m_router.set(zmq::sockopt::maxmsgsize, MaxMessageBytes);
+        const std::string address = toString(listen);
+        m_router.bind("tcp://" + (listen.port == 0 ? address.substr(0, address.find(':')) + ":*" : address));
+        const std::string bound = m_router.get(zmq::sockopt::last_endpoint);
+        constexpr std::string_view Scheme = "tcp://";
+        m_endpoint = parseEndpoint(std::string_view(bound).substr(Scheme.size())).value_or(Endpoint());
+        m_readable.assign(m_router.get(zmq::sockopt::fd));
+    }
+
+    ~Impl()
+    {
+        // The descriptor belongs to the ROUTER socket.
+        m_readable.release();
+    }
+
+    void wait()
+    {
+        m_readable.async_wait(asio::posix::stream_descriptor::wait_read,
+                              [self = shared_from_this()](boost::system::error_code ec) {
+                                  if (!ec && !self->m_closed) {
+                                      self->readBurst();
+                                  }
+                              });
+    }
+
+    /// The descriptor only signals changes: it is waited for again only once the socket has nothing left.
+    void readBurst()
+    {
+        for (int i = 0; i < ReadBurst; ++i) {
+            if ((m_router.get(zmq::sockopt::events) & ZMQ_POLLIN) == 0) {
+                wait();
+                return;
+            }
+            readOne();
+        }
+        asio::post(m_context, [self = shared_from_this()]() {
+            if (!self->m_closed) {
+                self->readBurst();
+            }
+        });
+    }
+
+    void readOne()
+    {
+        zmq::message_t part;
+        if (!m_router.recv(part, zmq::recv_flags::dontwait)) {
+            return;
+        }
+        while (part.more()) {
+            if (!m_router.recv(part, zmq::recv_flags::dontwait)) {
+                return;
+            }
+        }
+        ++m_counters.received;
+        m_counters.bytesReceived += part.size();
+        const std::optional<dispatch::Envelope> envelope =
+            dispatch::decode(std::string_view(static_cast<const char *>(part.data()), part.size()));
+        if (envelope) {
+            m_handler(*envelope);
+        } else {
+            ++m_counters.malformed;
+        }
+    }
+
+    zmq::socket_t &dealerFor(const Endpoint &endpoint)
+    {
+        const std::map<Endpoint, zmq::socket_t>::iterator it = m_dealers.find(endpoint);
+        if (it != m_dealers.end()) {
+            return it->second;
+        }
+        zmq::socket_t dealer(m_zmq, zmq::socket_type::dealer);
+        dealer.set(zmq::sockopt::linger, 0);
+        dealer.set(zmq::sockopt::sndhwm, HighWaterMark);
+        dealer.set(zmq::sockopt::reconnect_ivl, ReconnectMs);
+        dealer.set(zmq::sockopt::reconnect_ivl_max, ReconnectMaxMs);
+        dealer.set(zmq::sockopt::connect_timeout, ConnectTimeoutMs);
+        dealer.connect("tcp://" + toString(endpoint));
+        return m_dealers.emplace(endpoint, std::move(dealer)).first->second;
+    }
+
+    void send(const Endpoint &to, const dispatch::Envelope &envelope)
+    {
+        const std::string bytes = dispatch::encode(envelope);
+        if (!dealerFor(to).send(zmq::buffer(bytes), zmq::send_flags::dontwait)) {
+            ++m_counters.dropped;
+            return;
+        }
+        ++m_counters.sent;
+        m_counters.bytesSent += bytes.size();
+    }
+
+    asio::io_context &m_context;
+    zmq::context_t m_zmq;
+    zmq::socket_t m_router;
+    asio::posix::stream_descriptor m_readable;
+    Handler m_handler;
+    std::map<Endpoint, zmq::socket_t> m_dealers;
+    Endpoint m_endpoint;
+    Counters m_counters;
+    bool m_closed = false;
+};
+
+ZmqLink::ZmqLink(asio::io_context &context, const Endpoint &listen, Handler handler)
+    : m_impl(std::make_shared<Impl>(context, listen, std::move(handler)))
+{ }
+
+ZmqLink::~ZmqLink()
+{
+    m_impl->m_closed = true;
+    m_impl->m_readable.cancel();
+}
+
+Endpoint ZmqLink::endpoint() const
+{
+    return m_impl->m_endpoint;
+}
+
+void ZmqLink::start()
+{
+    m_impl->readBurst();
+}
+
+void ZmqLink::send(const Endpoint &to, const dispatch::Envelope &envelope)
+{
+    m_impl->send(to, envelope);
+}
+
+void ZmqLink::replaceConnection(const Endpoint &to)
+{
+    // The next message opens a new connection, which a silent path in between knows nothing of.
+    m_impl->m_dealers.erase(to);
+}
+
+void ZmqLink::forgetConnection(const Endpoint &to)
+{
+    m_impl->m_dealers.erase(to);
+}
+
+const ZmqLink::Counters &ZmqLink::counters() const noexcept
+{
+    return m_impl->m_counters;
+}
+
+} // namespace cuminscale
--- /dev/null
+++ b/src/core/dispatch/fleet_view.cpp
@@ -0,0 +1,82 @@
+#include "core/dispatch/fleet_view.h"
+
+#include <algorithm>
+
+namespace cuminscale::dispatch
+{
+
+namespace
+{
+
+constexpr std::size_t MaxAgents = 4096;
+/// Two missed heartbeats: an agent that is silent longer gets no new work.
+constexpr Duration AgentSilence = milliseconds(500);
+
+} // namespace
+
+Resources AgentView::effectiveFree() const
+{
+    Resources room = load.free;
+    for (const Unreported &order : unreported) {
+        room -= Resources{order.cpuMilli, order.memoryMb, order.accelerators};
+    }
+    room.cpuMilli -= load.queuedCpuMilli;
+    return room;
+}
+
+Duration AgentView::expectedWait(const Resources &need, const Resources &free) const
+{
+    if (need.fits(free)) {
+        return Duration(0);
+    }
+    // With all runs of about the same length L, busy processor B comes free at the rate B / L, and the running work is B x L / 2.
+    const double busy = static_cast<double>(std::max<std::int64_t>(load.capacity.cpuMilli - load.free.cpuMilli, 1));
+    const double rate = busy * busy / (2.0 * std::max(load.runningWork, 1.0));
+    const double missing = static_cast<double>(std::max<std::int64_t>(need.cpuMilli - free.cpuMilli, 1));
+    return Duration(static_cast<std::int64_t>(missing / rate));
+}
+
+bool AgentView::hasLabel(std::string_view label) const
+{
+    return label.empty() || std::find(load.labels.begin(), load.labels.end(), label) != load.labels.end();
+}
+
+AgentView *FleetView::find(const Endpoint &endpoint)
+{
+    const Agents::iterator it = m_agents.find(endpoint);
+    return it == m_agents.end() ? nullptr : &it->second;
+}
+
+AgentView *FleetView::findOrAdd(const Endpoint &endpoint, TimePoint now)
+{
+    if (m_agents.size() >= MaxAgents && m_agents.count(endpoint) == 0) {
+        return nullptr;
+    }
+    AgentView &agent = m_agents.try_emplace(endpoint, now).first->second;
+    agent.endpoint = endpoint;
+    return &agent;
+}
+
+void FleetView::takeReport(AgentView &agent, const AgentReport &report)
+{
+    agent.service = report.service;
+    agent.domain = report.domain;
+    agent.load = report.load;
+    while (!agent.unreported.empty() && agent.unreported.front().order <= report.ordersSeen) {
+        agent.unreported.pop_front();
+    }
+}
+
+bool FleetView::usable(const AgentView &agent, const std::string &service, TimePoint now)
+{
+    return agent.load.accepting && agent.service == service && agent.session.silence(now) < AgentSilence;
+}
+
+std::size_t FleetView::usableCount(TimePoint now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_agents.begin(), m_agents.end(), [now](const Agents::value_type &entry) {
+        return usable(entry.second, entry.second.service, now);
+    }));
+}
+
+} // namespace cuminscale::dispatch
--- /dev/null
+++ b/src/core/dispatch/fleet_view.h
@@ -0,0 +1,85 @@
+/// What one entry knows of the agents and their backend servers.
+#pragma once
+
+#include "core/dispatch/peer_session.h"
+#include "core/dispatch/server_health.h"
+
+#include <deque>
+#include <map>
+
+namespace cuminscale::dispatch
+{
+
+/// One agent with the backend server beside it.
+struct AgentView
+{
+    explicit AgentView(TimePoint now)
+        : session(now)
+    { }
+
+    /// Room that this entry has asked for since the agent's last report.
+    struct Unreported
+    {
+        std::uint64_t order = 0;
+        std::int64_t cpuMilli = 0;
+        std::int64_t memoryMb = 0;
+        std::int64_t accelerators = 0;
+    };
+
+    Endpoint endpoint;
+    PeerSession session;
+    std::string service;
+    std::string domain;
+    ServerLoad load;
+    ServerHealth health;
+    std::uint64_t lastOrder = 0;
+    std::uint64_t eventsSeen = 0;
+    bool owesAcknowledgement = false; ///< News has come in that no message has acknowledged yet.
+    std::uint32_t runsHere = 0; ///< Of this entry.
+    std::deque<Unreported> unreported;
+    TimePoint configSentAt;
+
+    /// Room as reported, less what has been asked for since.
+    Resources effectiveFree() const;
+
+    /// How long a task that needs this much processor is expected to wait. Queued work goes first; room comes free at the rate at
+    /// which the running work ends.
+    Duration expectedWait(const Resources &need, const Resources &free) const;
+
+    bool hasLabel(std::string_view label) const;
+};
+
+/// All agents that this entry has heard.
+class FleetView
+{
+public:
+    using Agents = std::map<Endpoint, AgentView>;
+
+    Agents &agents() noexcept
+    {
+        return m_agents;
+    }
+
+    const Agents &agents() const noexcept
+    {
+        return m_agents;
+    }
+
+    AgentView *find(const Endpoint &endpoint);
+
+    /// The agent at an address, added when it was not known; nothing when there are too many.
+    AgentView *findOrAdd(const Endpoint &endpoint, TimePoint now);
+
+    /// Replaces the load of an agent by a newer report.
+    static void takeReport(AgentView &agent, const AgentReport &report);
+
+    /// Whether an agent may get new work of a service now.
+    static bool usable(const AgentView &agent, const std::string &service, TimePoint now);
+
+    std::size_t usableCount(TimePoint now) const;
+
+private:
+    Agents m_agents;
+};
+
+} // namespace cuminscale::dispatch
--- /dev/null
+++ b/src/core/dispatch/run_ledger.cpp
@@ -0,0 +1,116 @@
+#include "core/dispatch/run_ledger.h"
+
+#include "core/step.h"
+
+#include <algorithm>
+
+namespace cuminscale::dispatch
+{
+
+namespace
+{
+
+/// A run that has used its estimate up is taken to need this part of it more.
+constexpr double OverdueShare = 0.25;
+
+} // namespace
+
+Resources RunLedger::free() const noexcept
+{
+    Resources room = m_capacity;
+    room -= m_booked;
+    return room;
+}
+
+RunRecord *RunLedger::find(const TaskRef &task)
+{
+    const Records::iterator it = m_records.find(task);
+    return it == m_records.end() ? nullptr : &it->second;
+}
+
+RunRecord &RunLedger::enqueue(RunRecord &&record)
+{
+    CUMINSCALE_INVARIANT(m_records.count(record.ref.task) == 0, "one record a task");
+    record.state = RunRecord::State::Queued;
+    ++m_waiting;
+    const TaskRef task = record.ref.task;
+    return m_records.emplace(task, std::move(record)).first->second;
+}
+
+RunRecord &RunLedger::adopt(const RunRef &run)
+{
+    RunRecord record;
+    record.ref = run;
+    record.state = RunRecord::State::Running;
+    record.stopWanted = true;
+    return m_records.emplace(run.task, std::move(record)).first->second;
+}
+
+void RunLedger::book(RunRecord &record)
+{
+    CUMINSCALE_INVARIANT(record.state == RunRecord::State::Queued, "only waiting tasks are booked");
+    CUMINSCALE_INVARIANT(hasRoomFor(record.need), "room is there before it is booked");
+    m_booked += record.need;
+    --m_waiting;
+    record.state = RunRecord::State::Starting;
+}
+
+void RunLedger::remove(const TaskRef &task)
+{
+    const Records::iterator it = m_records.find(task);
+    if (it == m_records.end()) {
+        return;
+    }
+    if (it->second.state == RunRecord::State::Queued) {
+        --m_waiting;
+    } else {
+        m_booked -= it->second.need;
+    }
+    m_records.erase(it);
+}
+
+RunRecord *RunLedger::nextWaiting(TimePoint now)
+{
+    RunRecord *best = nullptr;
+    bool bestLate = false;
+    if (m_waiting == 0) {
+        return nullptr;
+    }
+    for (Records::value_type &entry : m_records) {
+        RunRecord &record = entry.second;
+        if (record.state != RunRecord::State::Queued) {
+            continue;
+        }
+        const bool late = record.inTimeBy < now;
+        const bool before = best == nullptr || (late != bestLate ? bestLate : record.inTimeBy < best->inTimeBy);
+        if (before) {
+            best = &record;
+            bestLate = late;
+        }
+    }
+    return best;
+}
+
+void RunLedger::describe(TimePoint now, ServerLoad &load) const
+{
+    load.capacity = m_capacity;
+    load.free = free();
+    load.queuedCpuMilli = 0;
+    load.queuedWork = 0;
+    load.runningWork = 0;
+    for (const Records::value_type &entry : m_records) {
+        const RunRecord &record = entry.second;
+        const double estimate = static_cast<double>(record.estimate.count());
+        const double cpu = static_cast<double>(record.need.cpuMilli);
+        if (record.state == RunRecord::State::Queued) {
+            load.queuedCpuMilli += record.need.cpuMilli;
+            load.queuedWork += cpu * estimate;
+            continue;
+        }
+        const double elapsed =
+            record.state == RunRecord::State::Running ? static_cast<double>((now - record.startedAt).count()) : 0.0;
+        load.runningWork += cpu * std::max(estimate - elapsed, OverdueShare * estimate);
+    }
+}
+
+} // namespace cuminscale::dispatch
--- /dev/null
+++ b/src/daemon/agent_process.cpp
@@ -0,0 +1,114 @@
+#include "daemon/agent_process.h"
+
+#include <sstream>
+
+namespace cuminscale
+{
+
+namespace
+{
+
+/// Left of the grace period when the process ends by itself.
+constexpr Duration GraceMargin = milliseconds(300);
+/// News of the last ends is repeated until the entries have it.
+constexpr Duration ShutdownLinger = milliseconds(400);
+/// Agents ask the store only while no entry answers them, and rarely: its rates are shared by all.
+constexpr Duration ListAfter = seconds(2);
+constexpr Duration ListEvery = seconds(2);
+
+std::int64_t wallMs()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+} // namespace
+
+AgentProcess::AgentProcess(const DispatchSettings &settings, const std::string &settingsPath)
+    : DispatchProcess(settings, settingsPath)
+    , m_gateway(m_context, settings.server, &DispatchProcess::now)
+    , m_heardAt(now())
+{
+    openLink();
+    dispatch::AgentSettings agent;
+    agent.self = m_self;
+    agent.domain = settings.domain;
+    agent.service = settings.service;
+    agent.entries = settings.entries;
+    agent.firstToken = dispatch::FencingToken(wallMs());
+    agent.timing.leaseFor = std::min(agent.timing.leaseFor, settings.leaseFor);
+    m_dispatch = std::make_unique<dispatch::AgentDispatch>(agent, m_gateway, *m_link, m_log, now());
+    m_gateway.setDispatch(*m_dispatch);
+    m_announcements = std::make_unique<HttpServer>(m_context, settings.announceListen, HttpLimits(),
+                                                   [this](HttpRequest &&request, const std::shared_ptr<HttpExchange> &exchange) {
+                                                       m_gateway.handle(std::move(request), exchange);
+                                                   });
+    platform::StoreClient::Handlers handlers;
+    handlers.onConfigDocument = [](const std::string &) {
+    };
+    handlers.onEntries = [this](const std::vector<Endpoint> &entries) {
+        m_dispatch->addEntries(now(), entries);
+    };
+    m_store = std::make_unique<platform::StoreClient>(m_context, settings.store, m_log, std::move(handlers));
+}
+
+void AgentProcess::onTick(TimePoint time)
+{
+    m_dispatch->onTick(time);
+    if (m_dispatch->hearsEntries(time)) {
+        m_heardAt = time;
+    } else if (time - m_heardAt > ListAfter && time - m_listedAt > ListEvery) {
+        m_listedAt = time;
+        m_store->listEntries();
+    }
+}
+
+void AgentProcess::onPeerMessage(const dispatch::Envelope &envelope)
+{
+    m_dispatch->onMessage(now(), envelope);
+}
+
+void AgentProcess::onShutdownAsked(TimePoint time)
+{
+    m_dispatch->shutDown(time);
+}
+
+bool AgentProcess::shutdownDone(TimePoint time) const
+{
+    const Duration since = time - m_shutdownAt;
+    return (m_dispatch->idle() && since >= ShutdownLinger) || since >= m_settings.stopGrace - GraceMargin;
+}
+
+void AgentProcess::onSettings(const DispatchSettings &settings)
+{
+    m_dispatch->addEntries(now(), settings.entries);
+}
+
+std::string AgentProcess::renderMetrics(TimePoint) const
+{
+    const dispatch::AgentCounters &counters = m_dispatch->counters();
+    const dispatch::RunLedger &ledger = m_dispatch->ledger();
+    const std::pair<const char *, std::uint64_t> rows[] = {
+        {"orders_taken", counters.ordersTaken},
+        {"runs_started", counters.runsStarted},
+        {"runs_done", counters.runsDone},
+        {"runs_failed", counters.runsFailed},
+        {"runs_stopped", counters.runsStopped},
+        {"runs_lapsed", counters.runsLapsed},
+        {"runs_lost", counters.runsLost},
+        {"runs_handed_back", counters.handedBack},
+        {"starts_unanswered", counters.startsUnanswered},
+        {"looks_failed", counters.looksFailed},
+        {"coordinators_silent", counters.coordinatorsSilent},
+        {"connections_replaced", counters.connectionsReplaced},
+        {"store_calls", m_store->calls()},
+        {"runs_booked", ledger.booked()},
+        {"runs_waiting", ledger.waiting()},
+    };
+    std::ostringstream out;
+    for (const std::pair<const char *, std::uint64_t> &row : rows) {
+        out << "cuminscale_" << row.first << " " << row.second << "\n";
+    }
+    return out.str();
+}
+
+} // namespace cuminscale
--- /dev/null
+++ b/src/daemon/dispatch_process.cpp
@@ -0,0 +1,184 @@
+#include "daemon/dispatch_process.h"
+
+#include "daemon/agent_process.h"
+#include "daemon/entry_process.h"
+
+#include <csignal>
+#include <ctime>
+#include <fstream>
+#include <random>
+#include <sstream>
+
+namespace cuminscale
+{
+
+namespace
+{
+
+/// Waiting tasks expire and silence is noticed this precisely; the shortest objective leaves about 90 ms to wait.
+constexpr Duration TickEvery = milliseconds(15);
+constexpr Duration FlushEvery = milliseconds(100);
+/// The platform may change the settings file without a signal.
+constexpr Duration WatchEvery = seconds(2);
+/// Low bits of an incarnation are random, high bits are the time of day.
+constexpr unsigned RandomBits = 12;
+
+std::int64_t wallUs()
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+Incarnation drawIncarnation()
+{
+    std::random_device device;
+    const std::uint64_t ms = static_cast<std::uint64_t>(wallUs() / 1000);
+    return Incarnation((ms << RandomBits) | (device() & ((1U << RandomBits) - 1)));
+}
+
+} // namespace
+
+SettingsWatch::SettingsWatch(std::string path)
+    : m_path(std::move(path))
+{
+    changed();
+}
+
+std::optional<std::string> SettingsWatch::changed()
+{
+    std::ifstream file(m_path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file || text.str() == m_text) {
+        return std::nullopt;
+    }
+    m_text = text.str();
+    return m_text;
+}
+
+DispatchProcess::DispatchProcess(DispatchSettings settings, std::string settingsPath)
+    : m_settings(std::move(settings))
+    , m_context(1)
+    , m_log(m_settings.node, parseLogLevel(m_settings.logLevel), wallUs)
+    , m_self{m_settings.peerListen, drawIncarnation()}
+    , m_watch(std::move(settingsPath))
+    , m_tick(m_context)
+    , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
+{ }
+
+TimePoint DispatchProcess::now()
+{
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return TimePoint(seconds(time.tv_sec) + std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(time.tv_nsec)));
+}
+
+void DispatchProcess::openLink()
+{
+    m_link = std::make_unique<ZmqLink>(m_context, m_settings.peerListen,
+                                       [this](const dispatch::Envelope &envelope) { onPeerMessage(envelope); });
+    m_self.endpoint = m_link->endpoint();
+    m_metrics = std::make_unique<HttpServer>(m_context, m_settings.metricsListen, HttpLimits(),
+                                             [this](HttpRequest &&request, const std::shared_ptr<HttpExchange> &exchange) {
+                                                 HttpResponse response;
+                                                 response.status = request.target == "/metrics" ? 200 : 404;
+                                                 response.contentType = "text/plain; version=0.0.4";
+                                                 response.body =
+                                                     response.status == 200 ? renderMetrics(now()) + renderLinkMetrics() : "";
+                                                 exchange->respond(std::move(response));
+                                             });
+}
+
+std::string DispatchProcess::renderLinkMetrics() const
+{
+    const ZmqLink::Counters &counters = m_link->counters();
+    std::ostringstream out;
+    out << "cuminscale_peer_messages_sent " << counters.sent << "\ncuminscale_peer_bytes_sent " << counters.bytesSent
+        << "\ncuminscale_peer_messages_received " << counters.received << "\ncuminscale_peer_bytes_received "
+        << counters.bytesReceived << "\ncuminscale_peer_messages_malformed " << counters.malformed
+        << "\ncuminscale_peer_messages_dropped " << counters.dropped << "\ncuminscale_log_lines_dropped " << m_log.dropped()
+        << "\n";
+    return out.str();
+}
+
+void DispatchProcess::run()
+{
+    m_log.write(LogLevel::Info, "start",
+                "incarnation=" + std::to_string(m_self.incarnation.value()) + " peer=" + toString(m_self.endpoint)
+                    + " domain=" + m_settings.domain + " entries=" + std::to_string(m_settings.entries.size()));
+    m_link->start();
+    waitForSignals();
+    tickLater();
+    m_context.run();
+    onStopped();
+    m_log.write(LogLevel::Info, "stop", "");
+    m_log.flush();
+}
+
+void DispatchProcess::tickLater()
+{
+    m_tick.expires_after(TickEvery);
+    m_tick.async_wait([this](boost::system::error_code ec) {
+        if (ec) {
+            return;
+        }
+        const TimePoint time = now();
+        onTick(time);
+        if (time - m_flushedAt >= FlushEvery) {
+            m_flushedAt = time;
+            m_log.flush();
+        }
+        if (time - m_watchedAt >= WatchEvery) {
+            m_watchedAt = time;
+            reload();
+        }
+        if (m_shutdownAt != TimePoint() && shutdownDone(time)) {
+            m_context.stop();
+            return;
+        }
+        tickLater();
+    });
+}
+
+void DispatchProcess::waitForSignals()
+{
+    m_signals.async_wait([this](boost::system::error_code ec, int signal) {
+        if (ec) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            reload();
+        } else if (m_shutdownAt == TimePoint()) {
+            m_shutdownAt = now();
+            m_log.write(LogLevel::Info, "shutdown-asked", "signal=" + std::to_string(signal));
+            onShutdownAsked(m_shutdownAt);
+        }
+        waitForSignals();
+    });
+}
+
+void DispatchProcess::reload()
+{
+    const std::optional<std::string> text = m_watch.changed();
+    if (!text) {
+        return;
+    }
+    SettingsError error;
+    const std::optional<DispatchSettings> settings = parseDispatchSettings(*text, error);
+    if (!settings) {
+        m_log.write(LogLevel::Error, "reload-refused", "key=" + error.key + " reason=\"" + error.reason + "\"");
+        return;
+    }
+    m_log.write(LogLevel::Info, "reload", "entries=" + std::to_string(settings->entries.size()));
+    m_log.setThreshold(parseLogLevel(settings->logLevel));
+    onSettings(*settings);
+}
+
+std::unique_ptr<DispatchProcess> makeDispatchProcess(const DispatchSettings &settings, const std::string &settingsPath)
+{
+    if (settings.role == Role::Entry) {
+        return std::make_unique<EntryProcess>(settings, settingsPath);
+    }
+    return std::make_unique<AgentProcess>(settings, settingsPath);
+}
+
+} // namespace cuminscale
--- /dev/null
+++ b/src/daemon/dispatch_settings.cpp
@@ -0,0 +1,130 @@
+#include "daemon/dispatch_settings.h"
+
+#include "core/json_reader.h"
+
+#include <boost/json/array.hpp>
+#include <boost/leaf/handle_errors.hpp>
+
+namespace cuminscale
+{
+
+namespace leaf = boost::leaf;
+namespace json = boost::json;
+
+namespace
+{
+
+constexpr std::uint64_t MaxMs = 600'000;
+
+leaf::result<Endpoint> readAddress(const JsonObject &object, std::string_view key)
+{
+    BOOST_LEAF_AUTO(text, object.requiredText(key));
+    const std::optional<Endpoint> endpoint = parseEndpoint(text);
+    if (!endpoint) {
+        return object.fail(key, "has to be an IPv4 address and port, such as \"10.0.0.5:7000\"");
+    }
+    return *endpoint;
+}
+
+/// Addresses of hosts that run entries. Their peer port is this process's own: ports are alike on all machines.
+leaf::result<std::vector<Endpoint>> readHosts(const JsonObject &object, std::string_view key, std::uint16_t port)
+{
+    std::vector<Endpoint> hosts;
+    BOOST_LEAF_AUTO(list, object.list(key));
+    if (list == nullptr) {
+        return hosts;
+    }
+    for (const json::value &item : *list) {
+        const std::optional<Endpoint> host = item.is_string() ? parseEndpoint(std::string_view(item.get_string())) : std::nullopt;
+        if (!host) {
+            return object.fail(key, "has to list IPv4 addresses and ports");
+        }
+        hosts.push_back(Endpoint{host->ip, port});
+    }
+    return hosts;
+}
+
+leaf::result<Duration> readDuration(const JsonObject &object, std::string_view key, Duration fallback)
+{
+    const std::uint64_t fallbackMs = static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(fallback).count());
+    BOOST_LEAF_AUTO(ms, object.number(key, fallbackMs, 1, MaxMs));
+    return Duration(milliseconds(ms));
+}
+
+leaf::result<DispatchSettings> readRoot(const JsonObject &root)
+{
+    DispatchSettings settings;
+    BOOST_LEAF_CHECK(
+        root.allow({"role", "node", "failure_domain", "peer", "metrics", "store", "clients", "server", "stop_grace_ms", "log"}));
+    BOOST_LEAF_AUTO(role, root.requiredText("role"));
+    if (role != "job-entry" && role != "job-agent") {
+        return root.fail("role", "has to be \"job-entry\" or \"job-agent\"");
+    }
+    settings.role = role == "job-entry" ? Role::Entry : Role::Agent;
+    BOOST_LEAF_ASSIGN(settings.node, root.requiredText("node"));
+    BOOST_LEAF_ASSIGN(settings.domain, root.requiredText("failure_domain"));
+    BOOST_LEAF_AUTO(peer, root.object("peer"));
+    BOOST_LEAF_CHECK(peer.allow({"listen", "entry_hosts"}));
+    BOOST_LEAF_ASSIGN(settings.peerListen, readAddress(peer, "listen"));
+    BOOST_LEAF_ASSIGN(settings.entries, readHosts(peer, "entry_hosts", settings.peerListen.port));
+    BOOST_LEAF_AUTO(metrics, root.object("metrics"));
+    BOOST_LEAF_CHECK(metrics.allow({"listen"}));
+    BOOST_LEAF_ASSIGN(settings.metricsListen, readAddress(metrics, "listen"));
+    BOOST_LEAF_AUTO(store, root.object("store"));
+    BOOST_LEAF_CHECK(store.allow({"address"}));
+    BOOST_LEAF_ASSIGN(settings.store, readAddress(store, "address"));
+    if (settings.role == Role::Entry) {
+        BOOST_LEAF_AUTO(clients, root.object("clients"));
+        BOOST_LEAF_CHECK(clients.allow({"listen", "ready_listen"}));
+        BOOST_LEAF_ASSIGN(settings.clientsListen, readAddress(clients, "listen"));
+        BOOST_LEAF_ASSIGN(settings.readyListen, readAddress(clients, "ready_listen"));
+    } else {
+        BOOST_LEAF_AUTO(server, root.object("server"));
+        BOOST_LEAF_CHECK(server.allow({"announce_listen", "address", "service", "lease_ms"}));
+        BOOST_LEAF_ASSIGN(settings.announceListen, readAddress(server, "announce_listen"));
+        BOOST_LEAF_ASSIGN(settings.server, readAddress(server, "address"));
+        BOOST_LEAF_ASSIGN(settings.service, server.requiredText("service"));
+        BOOST_LEAF_ASSIGN(settings.leaseFor, readDuration(server, "lease_ms", settings.leaseFor));
+    }
+    BOOST_LEAF_ASSIGN(settings.stopGrace, readDuration(root, "stop_grace_ms", settings.stopGrace));
+    BOOST_LEAF_AUTO(log, root.object("log"));
+    BOOST_LEAF_CHECK(log.allow({"level"}));
+    BOOST_LEAF_ASSIGN(settings.logLevel, log.text("level", settings.logLevel));
+    return settings;
+}
+
+} // namespace
+
+bool isDispatchSettings(std::string_view text)
+{
+    return leaf::try_handle_all(
+        [text]() -> leaf::result<bool> {
+            BOOST_LEAF_AUTO(value, parseJson(text));
+            BOOST_LEAF_AUTO(root, JsonObject::from(value, ""));
+            BOOST_LEAF_AUTO(role, root.text("role", ""));
+            return role.rfind("job-", 0) == 0;
+        },
+        // What is wrong with the text is said by whichever reader takes it next.
+        []() { return false; });
+}
+
+std::optional<DispatchSettings> parseDispatchSettings(std::string_view text, SettingsError &error)
+{
+    return leaf::try_handle_all(
+        [text]() -> leaf::result<std::optional<DispatchSettings>> {
+            BOOST_LEAF_AUTO(value, parseJson(text));
+            BOOST_LEAF_AUTO(root, JsonObject::from(value, ""));
+            BOOST_LEAF_AUTO(settings, readRoot(root));
+            return std::optional<DispatchSettings>(std::move(settings));
+        },
+        [&error](const JsonError &e) -> std::optional<DispatchSettings> {
+            error = SettingsError{e.path, e.reason};
+            return std::nullopt;
+        },
+        [&error]() -> std::optional<DispatchSettings> {
+            error = SettingsError{"document", "can't be read"};
+            return std::nullopt;
+        });
+}
+
+} // namespace cuminscale
--- /dev/null
+++ b/src/daemon/entry_process.cpp
@@ -0,0 +1,150 @@
+#include "daemon/entry_process.h"
+
+#include "platform/config_document.h"
+
+#include <sstream>
+
+namespace cuminscale
+{
+
+namespace
+{
+
+/// The balancer asks once a second and needs two misses; new connections come for that long after the first refusal.
+constexpr Duration BalancerNotices = milliseconds(2600);
+/// Left of the grace period when the process ends by itself.
+constexpr Duration GraceMargin = milliseconds(300);
+
+} // namespace
+
+EntryProcess::EntryProcess(const DispatchSettings &settings, const std::string &settingsPath)
+    : DispatchProcess(settings, settingsPath)
+    , m_gateway(&DispatchProcess::now)
+{
+    openLink();
+    dispatch::EntrySettings entry;
+    entry.self = m_self;
+    entry.domain = settings.domain;
+    entry.entries = settings.entries;
+    m_dispatch = std::make_unique<dispatch::EntryDispatch>(entry, *m_link, m_gateway, m_log, now());
+    m_dispatch->onNewerConfig = [this](const dispatch::ConfigBlob &config) {
+        adopt(config.document, "peer");
+    };
+    m_gateway.setDispatch(*m_dispatch);
+    m_clients = std::make_unique<HttpServer>(m_context, settings.clientsListen, HttpLimits(),
+                                             [this](HttpRequest &&request, const std::shared_ptr<HttpExchange> &exchange) {
+                                                 m_gateway.handle(std::move(request), exchange);
+                                             });
+    m_ready = std::make_unique<HttpServer>(m_context, settings.readyListen, HttpLimits(),
+                                           [this](HttpRequest &&, const std::shared_ptr<HttpExchange> &exchange) {
+                                               HttpResponse response;
+                                               response.status = ready(now()) ? 200 : 503;
+                                               response.body = "{}";
+                                               exchange->respond(std::move(response));
+                                           });
+    platform::StoreClient::Handlers handlers;
+    handlers.onConfigDocument = [this](const std::string &document) {
+        adopt(document, "store");
+    };
+    handlers.onEntries = [this](const std::vector<Endpoint> &entries) {
+        m_dispatch->addEntries(now(), entries);
+    };
+    m_store = std::make_unique<platform::StoreClient>(m_context, settings.store, m_log, std::move(handlers));
+    m_store->followConfig();
+    m_store->registerEntry(settings.node, m_self.endpoint);
+}
+
+bool EntryProcess::ready(TimePoint time) const
+{
+    return m_shutdownAt == TimePoint() && m_gateway.configured() && m_dispatch->usableAgents(time) > 0;
+}
+
+void EntryProcess::adopt(const std::string &document, const char *source)
+{
+    std::string reason;
+    const std::shared_ptr<const dispatch::QueueConfig> config = platform::parseConfig(document, reason);
+    if (!config) {
+        m_log.write(LogLevel::Error, "config-refused", std::string("source=") + source + " reason=\"" + reason + "\"");
+        return;
+    }
+    if (config->version <= m_dispatch->config().version) {
+        return;
+    }
+    m_dispatch->setConfig(dispatch::ConfigBlob{config->version, document});
+    m_gateway.setConfig(config);
+    HttpLimits limits;
+    limits.maxBodyBytes = config->limits.maxBodyBytes;
+    limits.maxHeaderBytes = config->limits.maxHeaderBytes;
+    limits.idleTimeout = config->limits.idleTimeout;
+    m_clients->setLimits(limits);
+    m_log.write(LogLevel::Info, "config-adopted",
+                "version=" + std::to_string(config->version) + " source=" + source
+                    + " queues=" + std::to_string(config->queues.size()));
+}
+
+void EntryProcess::onTick(TimePoint time)
+{
+    m_dispatch->onTick(time);
+}
+
+void EntryProcess::onPeerMessage(const dispatch::Envelope &envelope)
+{
+    m_dispatch->onMessage(now(), envelope);
+}
+
+void EntryProcess::onShutdownAsked(TimePoint)
+{
+    m_clients->startDraining();
+    m_store->unregister();
+}
+
+bool EntryProcess::shutdownDone(TimePoint time) const
+{
+    const Duration since = time - m_shutdownAt;
+    return (since >= BalancerNotices && m_dispatch->unanswered() == 0) || since >= m_settings.stopGrace - GraceMargin;
+}
+
+void EntryProcess::onSettings(const DispatchSettings &settings)
+{
+    m_dispatch->addEntries(now(), settings.entries);
+}
+
+void EntryProcess::onStopped()
+{
+    m_clients.reset();
+}
+
+std::string EntryProcess::renderMetrics(TimePoint time) const
+{
+    const dispatch::EntryCounters &counters = m_dispatch->counters();
+    const std::pair<const char *, std::uint64_t> rows[] = {
+        {"jobs_submitted", counters.submitted},
+        {"jobs_joined", counters.joined},
+        {"jobs_succeeded", counters.succeeded},
+        {"jobs_succeeded_late", counters.succeededLate},
+        {"jobs_failed", counters.failed},
+        {"jobs_refused_at_once", counters.refusedAtOnce},
+        {"jobs_refused_later", counters.refusedLater},
+        {"jobs_cancelled", counters.cancelled},
+        {"clients_gone", counters.clientsGone},
+        {"runs_ordered", counters.runsOrdered},
+        {"runs_handed_back", counters.runsHandedBack},
+        {"runs_failed", counters.runsFailed},
+        {"runs_restarted", counters.runsRestarted},
+        {"orders_repeated", counters.ordersRepeated},
+        {"connections_replaced", counters.connectionsReplaced},
+        {"configs_from_peers", counters.configsFromPeers},
+        {"store_calls", m_store->calls()},
+        {"store_failures", m_store->failures()},
+        {"config_version", m_dispatch->config().version},
+        {"jobs_unanswered", m_dispatch->unanswered()},
+        {"agents_usable", m_dispatch->usableAgents(time)},
+    };
+    std::ostringstream out;
+    for (const std::pair<const char *, std::uint64_t> &row : rows) {
+        out << "cuminscale_" << row.first << " " << row.second << "\n";
+    }
+    return out.str();
+}
+
+} // namespace cuminscale
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,11 +1,14 @@
 /// cuminscaled: an entry or an agent, as its settings say.
+#include "daemon/dispatch_process.h"
 #include "daemon/process.h"
 #include "daemon/settings_file.h"
 
 #include <gflags/gflags.h>
 
 #include <csignal>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 
 DEFINE_string(settings, "", "The settings file; docs/CONFIGURATION.md lists its keys.");
 DEFINE_bool(check, false, "Check the settings file and exit.");
@@ -31,6 +34,35 @@
     return ExitOk;
 }
 
+int runDispatch(const std::string &text)
+{
+    cuminscale::SettingsError error;
+    const std::optional<cuminscale::DispatchSettings> settings = cuminscale::parseDispatchSettings(text, error);
+    if (!settings) {
+        std::cerr << "cuminscaled: " << FLAGS_settings << ": " << error.key << ": " << error.reason << "\n";
+        return ExitBadSettings;
+    }
+    if (FLAGS_check) {
+        std::cout << FLAGS_settings << ": ok\n";
+        return ExitOk;
+    }
+    try {
+        cuminscale::makeDispatchProcess(*settings, FLAGS_settings)->run();
+    } catch (const std::exception &e) {
+        std::cerr << "cuminscaled: the process can't start: " << e.what() << "\n";
+        return ExitCannotStart;
+    }
+    return ExitOk;
+}
+
+std::string readFile(const std::string &path)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -42,6 +74,12 @@
         std::cerr << "cuminscaled: name a settings file with --settings FILE\n";
         return ExitBadSettings;
     }
+    // A caller that hangs up while its answer is written is an error of that connection, not of the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    const std::string text = readFile(FLAGS_settings);
+    if (cuminscale::isDispatchSettings(text)) {
+        return runDispatch(text);
+    }
     cuminscale::SettingsError error;
     const std::optional<cuminscale::DaemonSettings> settings = cuminscale::readSettings(FLAGS_settings, error);
     if (!settings) {
@@ -52,7 +90,5 @@
         std::cout << FLAGS_settings << ": ok\n";
         return ExitOk;
     }
-    // A caller that hangs up while its answer is written is an error of that connection, not of the process.
-    std::signal(SIGPIPE, SIG_IGN);
     return runDaemon(*settings);
 }
