--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -12,9 +12,14 @@
 constexpr std::uint64_t RunNumberSkip = 1000;
 constexpr std::uint32_t MaxPlacements = 12;
 /// A run is given up for another start only when that is expected to save this part of what is left of it.
-constexpr double RestartGain = 0.6;
-/// From this ratio to the expected run time on, a run is overdue; the spread of run times within a job is far smaller.
-constexpr double OverdueRatio = 1.8;
+constexpr double RestartGain = 0.7;
+constexpr double RestartMargin = 1.1;
+/// A run is overdue from this multiple of its siblings' time on, which differ by a sixth or so, or of the expected time, which
+/// may be off by a factor of two.
+constexpr double OverdueAmongSiblings = 1.6;
+constexpr double OverdueAlone = 3.0;
+/// A server this much slower than expected loses its runs when another would end them sooner.
+constexpr double SlowServer = 2.0;
 constexpr Duration OverdueSlack = milliseconds(30);
 /// A run this far overdue stands still.
 constexpr double StallRatio = 5.0;
@@ -47,10 +52,27 @@
 
 const char *toString(JobAnswer answer) noexcept
 {
-    constexpr const char *Names[] = {"succeeded", "failed", "not-run", "unknown"};
+    constexpr const char *Names[] = {"succeeded", "failed", "cancelled", "not-run", "given-up"};
     return Names[static_cast<std::size_t>(answer)];
 }
 
+/// How an ended job stands for whoever asks later. One that was given up may be submitted again like one that was refused.
+JobStanding::State standingAfter(JobAnswer answer) noexcept
+{
+    switch (answer) {
+    case JobAnswer::Succeeded:
+        return JobStanding::State::Succeeded;
+    case JobAnswer::Failed:
+        return JobStanding::State::Failed;
+    case JobAnswer::Cancelled:
+        return JobStanding::State::Cancelled;
+    case JobAnswer::NotRun:
+    case JobAnswer::GivenUp:
+        break;
+    }
+    return JobStanding::State::Refused;
+}
+
 bool anyOut(const Job &job)
 {
     for (const StepState &step : job.steps) {
@@ -161,9 +183,9 @@
 {
     ++m_counters.submitted;
     const Jobs::iterator existing = m_jobs.find(id);
-    if (existing != m_jobs.end() && !existing->second.answered) {
+    if (existing != m_jobs.end()) {
         ++m_counters.joined;
-        existing->second.clients.push_back(client);
+        (existing->second.answered ? existing->second.resubmitted : existing->second.clients).push_back(client);
         m_clientJobs[client] = id;
         return;
     }
@@ -172,16 +194,16 @@
         m_clients.answer(client, JobAnswer::Succeeded, "ended before", Duration(0));
         return;
     case JobStanding::State::Failed:
-    case JobStanding::State::Cancelled:
         m_clients.answer(client, JobAnswer::Failed, "ended before", Duration(0));
         return;
+    case JobStanding::State::Cancelled:
+        m_clients.answer(client, JobAnswer::Cancelled, "ended before", Duration(0));
+        return;
     default:
         break;
     }
     if (patience <= Duration(0)) {
-        patience = queue->timeout > Duration(0) ? queue->timeout : m_settings.defaultDeadline;
-    } else if (queue->timeout > Duration(0)) {
-        patience = std::min(patience, queue->timeout);
+        patience = m_settings.defaultDeadline;
     }
     const TimePoint giveUpAt = now + patience - m_settings.timing.answerMargin;
     if (const Endpoint *elsewhere = coordinatorElsewhere(now, id)) {
@@ -586,7 +608,7 @@
     JobAnswer answer = *job.answer;
     if (answer == JobAnswer::NotRun && (job.started || anyOut(job))) {
         // What is not confirmed as never started may have run.
-        answer = JobAnswer::Failed;
+        answer = JobAnswer::GivenUp;
     }
     job.answer = answer;
     job.answered = true;
@@ -616,9 +638,7 @@
         m_clients.answer(client, answer, job.reason, answer == JobAnswer::NotRun ? m_settings.timing.retryAfter : Duration(0));
     }
     job.clients.clear();
-    const JobStanding::State state = answer == JobAnswer::Succeeded ? JobStanding::State::Succeeded
-        : answer == JobAnswer::NotRun                               ? JobStanding::State::Refused
-                                                                    : JobStanding::State::Failed;
+    const JobStanding::State state = standingAfter(answer);
     if (state != JobStanding::State::Refused) {
         remember(now, job.id, state);
     }
@@ -641,14 +661,19 @@
     }
 }
 
-void EntryDispatch::concludeIfQuiet(TimePoint now, const JobId &id)
+void EntryDispatch::concludeIfQuiet(TimePoint now, JobId id)
 {
     const Jobs::iterator it = m_jobs.find(id);
     if (it == m_jobs.end() || !it->second.answer || anyOut(it->second)) {
         return;
     }
     answerClients(now, it->second);
+    const Job over = std::move(it->second);
     m_jobs.erase(it);
+    for (const ClientTag client : over.resubmitted) {
+        m_clientJobs.erase(client);
+        submit(now, client, over.queue, id, over.spec, over.giveUpAt - over.receivedAt);
+    }
 }
 
 void EntryDispatch::onClientGone(TimePoint now, ClientTag client)
@@ -672,11 +697,13 @@
     if (job == m_jobs.end()) {
         return;
     }
+    std::vector<ClientTag> &again = job->second.resubmitted;
+    again.erase(std::remove(again.begin(), again.end(), client), again.end());
     std::vector<ClientTag> &clients = job->second.clients;
     clients.erase(std::remove(clients.begin(), clients.end(), client), clients.end());
     if (clients.empty() && job->second.joiners.empty()) {
         ++m_counters.clientsGone;
-        finish(now, job->second, JobAnswer::Failed, "client-gone");
+        finish(now, job->second, JobAnswer::GivenUp, "client-gone");
     }
 }
 
@@ -685,7 +712,7 @@
     const Jobs::iterator it = m_jobs.find(id);
     if (it != m_jobs.end()) {
         ++m_counters.cancelled;
-        finish(now, it->second, JobAnswer::Failed, "cancelled");
+        finish(now, it->second, JobAnswer::Cancelled, "cancelled");
         return true;
     }
     if (const Endpoint *elsewhere = coordinatorElsewhere(now, id)) {
@@ -728,7 +755,7 @@
         const Jobs::iterator job = m_jobs.find(cancelled->job);
         if (job != m_jobs.end()) {
             ++m_counters.cancelled;
-            finish(now, job->second, JobAnswer::Failed, "cancelled");
+            finish(now, job->second, JobAnswer::Cancelled, "cancelled");
         }
     } else if (const ConfigBlob *config = std::get_if<ConfigBlob>(&envelope.message)) {
         takeConfig(*config);
@@ -750,9 +777,11 @@
             m_clients.answer(client, JobAnswer::Succeeded, "joined", Duration(0));
             break;
         case JobStanding::State::Failed:
-        case JobStanding::State::Cancelled:
             m_clients.answer(client, JobAnswer::Failed, "joined", Duration(0));
             break;
+        case JobStanding::State::Cancelled:
+            m_clients.answer(client, JobAnswer::Cancelled, "joined", Duration(0));
+            break;
         default:
             // The coordinator has never had it, or has certified that nothing of it ran.
             m_entries.at(joined.coordinator).activeJobs.erase(standing.job);
@@ -779,7 +808,7 @@
         m_joined.erase(id);
         for (const ClientTag client : joined.clients) {
             m_clientJobs.erase(client);
-            m_clients.answer(client, JobAnswer::Unknown, "coordinator-silent", Duration(0));
+            m_clients.answer(client, JobAnswer::GivenUp, "coordinator-silent", Duration(0));
         }
     }
 }
@@ -838,7 +867,7 @@
             if (agent == nullptr || agent->session.silence(now) > m_settings.timing.agentLost) {
                 job.started = true;
                 if (!job.answer) {
-                    finish(now, job, JobAnswer::Failed, "agent-silent");
+                    finish(now, job, JobAnswer::GivenUp, "agent-silent");
                     return;
                 }
                 if (now - job.endingSince > m_settings.timing.forgetPeer) {
@@ -866,7 +895,6 @@
     StepState &step = job.steps[stepIndex];
     // Tasks of a step are much alike: once half of them have ended, their time is the better guess.
     const bool halfDone = step.done * 2 >= step.tasks.size() && step.done > 0;
-    const Duration expected = halfDone ? step.longestDone : step.expectedRun;
     for (std::uint32_t k = 0; k < step.tasks.size(); ++k) {
         TaskState &task = step.tasks[k];
         if (task.phase != TaskState::Phase::Running || task.stopSent) {
@@ -874,19 +902,22 @@
         }
         const AgentView *agent = m_fleet.find(task.agent);
         const Duration elapsed = now - task.startedAt;
-        const bool overdue = elapsed > scaled(expected, OverdueRatio) + OverdueSlack;
+        const Duration expected = std::max(halfDone ? step.longestDone : step.expectedRun, task.atLeast);
+        const double limit = halfDone ? OverdueAmongSiblings : OverdueAlone;
+        const bool overdue = elapsed > scaled(expected, limit) + OverdueSlack;
         const double slowness = agent == nullptr ? 1.0 : agent->health.slowness();
-        if (!overdue && slowness < OverdueRatio) {
+        if (!overdue && slowness < SlowServer) {
             continue;
         }
         const Duration total = std::max(scaled(expected, slowness), overdue ? elapsed * 2 : elapsed);
         const Duration left = total - elapsed;
-        const Duration again = scaled(expected, 1.1) + 2 * TravelTime;
-        const bool intime = now + again <= job.objectiveAt;
-        const bool saves = now + again <= job.giveUpAt && (intime || now + left > job.objectiveAt);
-        if (!saves || ratio(again, left) > RestartGain + (overdue ? 0.4 : 0.0)) {
+        const Duration again = scaled(expected, RestartMargin) + 2 * TravelTime;
+        if (now + again > job.giveUpAt || ratio(again, left) > RestartGain) {
             continue;
         }
+        if (slowness < SlowServer) {
+            task.atLeast = elapsed;
+        }
         ++m_counters.runsRestarted;
         m_log.write(LogLevel::Info, "run-restarted",
                     "job=" + idText(job.id) + " task=" + std::to_string(stepIndex) + "." + std::to_string(k)
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -157,7 +157,7 @@
     void stopRun(TimePoint now, Job &job, const RunRef &ref, TaskState &task);
     void finish(TimePoint now, Job &job, JobAnswer answer, const char *reason);
     void answerClients(TimePoint now, Job &job);
-    void concludeIfQuiet(TimePoint now, const JobId &id);
+    void concludeIfQuiet(TimePoint now, JobId id);
     void remember(TimePoint now, const JobId &id, JobStanding::State state);
     void keepAgents(TimePoint now);
     void keepEntries(TimePoint now);
--- a/src/core/dispatch/job.h
+++ b/src/core/dispatch/job.h
@@ -30,6 +30,7 @@
     TimePoint askedAgainAt;
     TimePoint startedAt;
     std::vector<Endpoint> avoid;
+    Duration atLeast{0}; ///< A run was stopped after this long on a server that seemed sound: the task takes longer.
 
     /// Whether an agent may have a run of it.
     bool out() const noexcept
@@ -53,6 +54,7 @@
     std::shared_ptr<const JobSpec> spec;
     std::shared_ptr<const std::string> payload;
     std::vector<ClientTag> clients;
+    std::vector<ClientTag> resubmitted; ///< Sent again after the answer, while runs are still being stopped.
     std::vector<Endpoint> joiners; ///< Other entries that wait for its end.
     TimePoint receivedAt;
     TimePoint objectiveAt; ///< In time until then.
--- a/src/ports/dispatch_ports.h
+++ b/src/ports/dispatch_ports.h
@@ -140,9 +140,10 @@
 /// The final word to a client about its job.
 enum class JobAnswer : std::uint8_t {
     Succeeded,
-    Failed, ///< It may have run in part; it will not be tried again.
+    Failed, ///< A task has failed as often as its queue allows.
+    Cancelled,
     NotRun, ///< Nothing of it has run or will run.
-    Unknown, ///< Another process coordinated it and has gone silent.
+    GivenUp, ///< Not ended, and not worked on any more; it may have run in part. Sending it again runs it anew.
 };
 
 /// Answers clients.
