A server's slowness is forgotten with time; starts and looks without an answer are repeated

Meanwhile 195 of 368 cores stood free and jobs were refused as overloaded (log fields of the refusals, now kept). Ruled out: room that stays booked (free_cpu shows it free); suspects (0 of 10 after 9 s). Change: half of a slowness is forgotten in 2 s; run times that were noticed late teach nothing; a start without an answer is sent again after 40 ms, up to four times, as the server answers a repeat like the first; an overdue look is followed by another.

--- a/src/core/dispatch/agent_dispatch.cpp
+++ b/src/core/dispatch/agent_dispatch.cpp
@@ -202,11 +202,31 @@
             return;
         }
         m_ledger.book(*record);
-        record->notAfter = ServerTime(m_clock.atLeast(now).value() + toMs(m_settings.timing.startValid));
-        m_leaseUntil = std::max(m_leaseUntil, record->notAfter);
         record->startedAt = now;
-        ++m_startsUnderWay;
-        m_server.start(RunStart{*m_life, record->ref, record->payload, record->notAfter, m_token});
+        sendStart(now, *record);
+    }
+}
+
+void AgentDispatch::sendStart(TimePoint now, RunRecord &record)
+{
+    record.notAfter = ServerTime(m_clock.atLeast(now).value() + toMs(m_settings.timing.startValid));
+    m_leaseUntil = std::max(m_leaseUntil, record.notAfter);
+    record.orderSentAt = now;
+    ++record.orders;
+    ++record.ordersUnderWay;
+    ++m_startsUnderWay;
+    m_server.start(RunStart{*m_life, record.ref, record.payload, record.notAfter, m_token});
+}
+
+void AgentDispatch::repeatStarts(TimePoint now)
+{
+    for (RunLedger::Records::value_type &entry : m_ledger.records()) {
+        RunRecord &record = entry.second;
+        const bool overdue = record.state == RunRecord::State::Starting && now - record.orderSentAt > m_settings.timing.retryCall;
+        if (overdue && !record.stopWanted && record.orders < m_settings.timing.maxOrders && m_life && m_clock.known()) {
+            ++m_counters.startsRepeated;
+            sendStart(now, record);
+        }
     }
 }
 
@@ -444,6 +464,18 @@
     if (clock) {
         m_clock.observe(*clock, now);
     }
+    record->ordersUnderWay -= record->ordersUnderWay > 0 ? 1 : 0;
+    const bool repeated = record->orders > 1;
+    if (repeated && answer == StartAnswer::RunNumberUsed) {
+        // An earlier sending has begun the run and it has ended: the next look lists it.
+        answer = StartAnswer::Accepted;
+    } else if (repeated && answer != StartAnswer::Accepted) {
+        // Another sending may still begin it: only a stop settles that.
+        if (record->ordersUnderWay > 0) {
+            return;
+        }
+        answer = StartAnswer::Unknown;
+    }
     RefusalReason refused = RefusalReason::None;
     switch (answer) {
     case StartAnswer::Accepted: {
@@ -546,6 +578,7 @@
     order.waitForEnd = wait && !settling ? m_settings.timing.lookWait : Duration(0);
     ++m_lookNumber;
     m_lookUnderWay = true;
+    m_lookDueAt = now + order.waitForEnd + m_settings.timing.retryCall;
     m_server.look(m_lookNumber, order);
 }
 
@@ -561,6 +594,7 @@
     }
     if (!inventory) {
         ++m_counters.looksFailed;
+        m_lookFailedAt = now;
         if (failure == LookFailure::FencedOff) {
             m_tokenStep = std::max<std::int64_t>(m_tokenStep * 2, FirstTokenStepMs);
             raiseToken(now, "the server has seen a higher one");
@@ -606,7 +640,8 @@
         }
         RunRecord over = *record;
         m_ledger.remove(ended.run.task);
-        end(now, over, ended.end, RefusalReason::None, over.state == RunRecord::State::Doubtful);
+        const bool noticedLate = m_lookFailedAt >= over.startedAt;
+        end(now, over, ended.end, RefusalReason::None, noticedLate || over.state == RunRecord::State::Doubtful);
     }
     std::map<TaskRef, RunNumber> running;
     bool foreign = false;
@@ -680,6 +715,12 @@
         handBackWaiting(now, RefusalReason::Unreachable);
         m_lookAgainAt = now;
     }
+    if (m_lookUnderWay && now > m_lookDueAt && m_ledger.booked() > 0) {
+        // Its answer would no longer be taken: a look with a higher number follows.
+        m_lookFailedAt = now;
+        ++m_counters.looksFailed;
+        look(now, false);
+    }
     const bool due = m_lookAgainAt != TimePoint() && now >= m_lookAgainAt;
     if (due && !m_lookUnderWay) {
         m_lookAgainAt = TimePoint();
@@ -728,6 +769,7 @@
 {
     expireWaiting(now);
     keepServer(now);
+    repeatStarts(now);
     startWaiting(now);
     keepCoordinators(now);
 }
--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -23,13 +23,14 @@
     Duration configRepeat = milliseconds(500); ///< Pause before the document is passed to the same entry again.
     Duration maxOrderAge = milliseconds(300); ///< An older order comes from a connection or process that had stood still.
     Duration leaseFor = seconds(1); ///< The most that the platform grants.
-    Duration lookWait = milliseconds(250); ///< A look waits this long for an end; a lease is renewed four times in its length.
+    Duration lookWait = milliseconds(120); ///< A look waits this long for an end; a lease is renewed eight times in its length.
     Duration startValid = milliseconds(400); ///< A start that is delayed longer can't begin any more.
-    Duration retryCall = milliseconds(60); ///< Pause before a failed look or stop is tried again.
+    Duration retryCall = milliseconds(40); ///< A call without an answer is repeated: the server answers in about a millisecond.
     Duration probeEvery = milliseconds(500); ///< How often a server that refused connections is looked at.
     Duration announcementsGone = milliseconds(4500); ///< Three announcement periods without one.
     Duration forgetCoordinator = seconds(10); ///< A silent entry that the settings don't name is forgotten.
-    std::size_t maxStartsUnderWay = 7; ///< Starts at once, one connection each; another carries the look.
+    std::uint32_t maxOrders = 4; ///< Sendings of one start.
+    std::size_t maxStartsUnderWay = 10; ///< Starts at once, one connection each; another carries the look.
     std::size_t maxWaiting = 512; ///< Tasks that wait for room here.
 };
 
@@ -56,6 +57,7 @@
     std::uint64_t runsLost = 0;
     std::uint64_t handedBack = 0;
     std::uint64_t startsUnanswered = 0;
+    std::uint64_t startsRepeated = 0;
     std::uint64_t looksFailed = 0;
     std::uint64_t coordinatorsSilent = 0;
     std::uint64_t connectionsReplaced = 0;
@@ -135,6 +137,8 @@
     void takeStop(TimePoint now, const ProcessId &from, const StopOrder &order);
     void startWaiting(TimePoint now);
     void expireWaiting(TimePoint now);
+    void sendStart(TimePoint now, RunRecord &record);
+    void repeatStarts(TimePoint now);
     void handBackWaiting(TimePoint now, RefusalReason reason);
     void handBack(TimePoint now, const RunRecord &record, RefusalReason reason);
     void end(TimePoint now, RunRecord &record, RunEnd how, RefusalReason reason, bool lateServer);
@@ -178,6 +182,8 @@
 
     std::uint64_t m_lookNumber = 0; ///< Of the look that is under way, or was last.
     bool m_lookUnderWay = false;
+    TimePoint m_lookDueAt; ///< When the look that is under way should have been answered.
+    TimePoint m_lookFailedAt; ///< Ends before the next answer are noticed late.
     TimePoint m_lookAgainAt;
     std::uint64_t m_endsSeen = 0;
     bool m_endsUnacknowledged = false;
--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -160,10 +160,11 @@
     return it == m_ended.end() ? JobStanding::State::Unknown : it->second;
 }
 
-void EntryDispatch::refuse(TimePoint, ClientTag client, const JobId &id, const QueueRule &queue, const char *reason)
+void EntryDispatch::refuse(TimePoint now, ClientTag client, const JobId &id, const QueueRule &queue, const char *reason)
 {
     ++m_counters.refusedAtOnce;
-    m_log.write(LogLevel::Info, "job-refused", "job=" + idText(id) + " queue=" + queue.name + " reason=" + reason);
+    m_log.write(LogLevel::Info, "job-refused",
+                "job=" + idText(id) + " queue=" + queue.name + " reason=" + reason + " " + m_fleet.summary(now));
     m_clients.answer(client, JobAnswer::NotRun, reason, m_settings.timing.retryAfter);
 }
 
@@ -329,10 +330,6 @@
     const TimePoint limit = first ? std::min(job.objectiveAt, job.giveUpAt) : job.giveUpAt;
     if (now + slowest > limit) {
         job.reason = first ? "overloaded" : "no-time-left";
-        if (first) {
-            m_log.write(LogLevel::Debug, "placement",
-                        "job=" + idText(job.id) + " expected_ms=" + ms(slowest) + " limit_ms=" + ms(limit - now));
-        }
         return false;
     }
     order(now, job, stepIndex, waiting, places);
@@ -375,7 +372,7 @@
     start.job = job.id;
     start.step = stepIndex;
     start.need = job.spec->steps[stepIndex].need;
-    start.estimate = scaled(job.steps[stepIndex].expectedRun, agent.health.slowness());
+    start.estimate = scaled(job.steps[stepIndex].expectedRun, agent.health.slowness(now));
     start.inTimeWithin = std::max(job.objectiveAt - now - start.estimate - TravelTime, Duration(0));
     start.startWithin = std::max(job.giveUpAt - now - start.estimate, Duration(0));
     start.payload = job.payload;
@@ -489,8 +486,13 @@
         task.phase = TaskState::Phase::Done;
         ++step.done;
         step.longestDone = std::max(step.longestDone, event.ran);
+        if (event.lateServer) {
+            break;
+        }
+        if (agent.health.slowness(now) < SlowServer) {
+            m_estimates[job.queue->name].record(job.spec->steps[event.run.task.step].estimate, event.ran);
+        }
         agent.health.recordDone(now, ratio(event.ran, step.expectedRun));
-        m_estimates[job.queue->name].record(job.spec->steps[event.run.task.step].estimate, event.ran);
         break;
     case RunEnd::Failed:
         ++task.failures;
@@ -905,7 +907,7 @@
         const Duration expected = std::max(halfDone ? step.longestDone : step.expectedRun, task.atLeast);
         const double limit = halfDone ? OverdueAmongSiblings : OverdueAlone;
         const bool overdue = elapsed > scaled(expected, limit) + OverdueSlack;
-        const double slowness = agent == nullptr ? 1.0 : agent->health.slowness();
+        const double slowness = agent == nullptr ? 1.0 : agent->health.slowness(now);
         if (!overdue && slowness < SlowServer) {
             continue;
         }
--- a/src/core/dispatch/fleet_view.cpp
+++ b/src/core/dispatch/fleet_view.cpp
@@ -72,6 +72,34 @@
     return agent.load.accepting && agent.service == service && agent.session.silence(now) < AgentSilence;
 }
 
+std::string FleetView::summary(TimePoint now) const
+{
+    std::size_t usable = 0;
+    std::size_t suspect = 0;
+    std::int64_t capacity = 0;
+    std::int64_t free = 0;
+    std::int64_t queued = 0;
+    Duration oldest{0};
+    double slowest = 0;
+    for (const Agents::value_type &entry : m_agents) {
+        const AgentView &agent = entry.second;
+        if (!FleetView::usable(agent, agent.service, now)) {
+            continue;
+        }
+        ++usable;
+        suspect += agent.health.suspect(now) ? 1 : 0;
+        capacity += agent.load.capacity.cpuMilli;
+        free += agent.effectiveFree().cpuMilli;
+        queued += agent.load.queuedCpuMilli;
+        oldest = std::max(oldest, agent.session.silence(now));
+        slowest = std::max(slowest, agent.health.slowness(now));
+    }
+    return "agents=" + std::to_string(m_agents.size()) + " usable=" + std::to_string(usable)
+        + " suspect=" + std::to_string(suspect) + " capacity_cpu=" + std::to_string(capacity)
+        + " free_cpu=" + std::to_string(free) + " queued_cpu=" + std::to_string(queued) + " slowest=" + std::to_string(slowest)
+        + " oldest_report_ms=" + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(oldest).count());
+}
+
 std::size_t FleetView::usableCount(TimePoint now) const
 {
     return static_cast<std::size_t>(std::count_if(m_agents.begin(), m_agents.end(), [now](const Agents::value_type &entry) {
--- a/src/core/dispatch/fleet_view.h
+++ b/src/core/dispatch/fleet_view.h
@@ -78,6 +78,9 @@
 
     std::size_t usableCount(TimePoint now) const;
 
+    /// What a refusal was decided on, as fields of a log line.
+    std::string summary(TimePoint now) const;
+
 private:
     Agents m_agents;
 };
--- a/src/core/dispatch/messages.h
+++ b/src/core/dispatch/messages.h
@@ -57,7 +57,7 @@
     RunEnd end = RunEnd::Done;
     RefusalReason reason = RefusalReason::None; ///< For runs that never started.
     Duration ran{0}; ///< From the start's acknowledgement to the listed end.
-    bool lateServer = false; ///< The backend server owed an answer for long.
+    bool lateServer = false; ///< The backend server owed an answer meanwhile: `ran` is no measure of its speed.
 };
 
 /// An agent's state and its news; with no news, a heartbeat.
--- a/src/core/dispatch/placement.cpp
+++ b/src/core/dispatch/placement.cpp
@@ -60,10 +60,10 @@
     return found.empty() ? suspects : found;
 }
 
-double runCost(const Candidate &candidate, const PlacementRequest &request)
+double runCost(const Candidate &candidate, const PlacementRequest &request, TimePoint now)
 {
     const AgentView &agent = *candidate.agent;
-    double run = static_cast<double>(request.expectedRun.count()) * agent.health.slowness();
+    double run = static_cast<double>(request.expectedRun.count()) * agent.health.slowness(now);
     if (!request.preferredRack.empty() && !agent.hasLabel(request.preferredRack)) {
         run *= RemoteFactor;
     }
@@ -71,12 +71,12 @@
 }
 
 /// Microseconds by which candidates are compared.
-double cost(const Candidate &candidate, const PlacementRequest &request, Duration wait)
+double cost(const Candidate &candidate, const PlacementRequest &request, Duration wait, TimePoint now)
 {
     const AgentView &agent = *candidate.agent;
     const double capacity = static_cast<double>(std::max<std::int64_t>(agent.load.capacity.cpuMilli, 1));
     const double used = 1.0 - static_cast<double>(candidate.free.cpuMilli) / capacity;
-    double total = static_cast<double>(wait.count()) + runCost(candidate, request) + LoadCostUs * std::max(used, 0.0);
+    double total = static_cast<double>(wait.count()) + runCost(candidate, request, now) + LoadCostUs * std::max(used, 0.0);
     total += agent.domain == request.domain ? 0.0 : static_cast<double>(OtherDomainCost.count());
     total += candidate.tasks > 0 ? 0.0 : static_cast<double>(FurtherServerCost.count());
     total += candidate.tasks < candidate.runsAllowed ? 0.0 : ProbationCostUs;
@@ -100,7 +100,7 @@
                 continue;
             }
             const Duration wait = candidate.agent->expectedWait(request.need, candidate.free);
-            const double total = cost(candidate, request, wait);
+            const double total = cost(candidate, request, wait, now);
             if (best == nullptr || total < bestCost) {
                 best = &candidate;
                 bestCost = total;
@@ -113,7 +113,8 @@
         best->free -= request.need;
         ++best->tasks;
         ++best->sameStep;
-        places.push_back(Place{best->agent, bestWait, bestWait + Duration(static_cast<std::int64_t>(runCost(*best, request)))});
+        places.push_back(
+            Place{best->agent, bestWait, bestWait + Duration(static_cast<std::int64_t>(runCost(*best, request, now)))});
     }
     return places;
 }
--- a/src/core/dispatch/run_ledger.h
+++ b/src/core/dispatch/run_ledger.h
@@ -29,6 +29,9 @@
     TimePoint startBy; ///< Latest start at all.
     TimePoint startedAt;
     ServerTime notAfter; ///< The start can't take effect later than this on the server's clock.
+    TimePoint orderSentAt; ///< When the start was last sent.
+    std::uint32_t orders = 0; ///< How often the start was sent: a repeat is answered like the first.
+    std::uint32_t ordersUnderWay = 0;
     std::uint64_t certainFrom = 0; ///< A look with this number or a higher one shows the run, if it is there.
     bool stopWanted = false;
     bool stopAcknowledged = false;
--- a/src/core/dispatch/server_health.cpp
+++ b/src/core/dispatch/server_health.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/server_health.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cuminscale::dispatch
 {
@@ -21,12 +22,15 @@
 /// The first suspicion lasts about as long as a few short tasks take; each further one twice as long.
 constexpr Duration FirstSuspicion = milliseconds(700);
 constexpr std::uint32_t MaxDoublings = 3;
+/// Half of a measured slowness is forgotten in this time: a server that is avoided for it has no runs that could show otherwise.
+constexpr Duration ForgetSlowness = seconds(2);
 
 } // namespace
 
 void ServerHealth::recordDone(TimePoint now, double ratio)
 {
-    m_ratio += RatioWeight * (std::clamp(ratio, MinRatio, MaxRatio) - m_ratio);
+    m_ratio = remembered(now) + RatioWeight * (std::clamp(ratio, MinRatio, MaxRatio) - remembered(now));
+    m_measuredAt = now;
     m_failureShare -= FailureWeight * m_failureShare;
     if (now >= m_suspectUntil) {
         m_probation = false;
@@ -57,9 +61,16 @@
     m_probation = true;
 }
 
-double ServerHealth::slowness() const noexcept
+double ServerHealth::remembered(TimePoint now) const noexcept
 {
-    return m_overdue > OverdueCounts ? std::max(m_ratio, m_overdue) : m_ratio;
+    const double periods = static_cast<double>((now - m_measuredAt).count()) / static_cast<double>(ForgetSlowness.count());
+    return 1.0 + (m_ratio - 1.0) * std::exp2(-std::max(periods, 0.0));
+}
+
+double ServerHealth::slowness(TimePoint now) const noexcept
+{
+    const double ratio = remembered(now);
+    return m_overdue > OverdueCounts ? std::max(ratio, m_overdue) : ratio;
 }
 
 } // namespace cuminscale::dispatch
--- a/src/core/dispatch/server_health.h
+++ b/src/core/dispatch/server_health.h
@@ -27,7 +27,7 @@
     }
 
     /// Expected run time as a multiple of the one on a sound server.
-    double slowness() const noexcept;
+    double slowness(TimePoint now) const noexcept;
 
     /// Whether new work had better go elsewhere.
     bool suspect(TimePoint now) const noexcept
@@ -48,8 +48,10 @@
 
 private:
     void suspectIfFailing(TimePoint now);
+    double remembered(TimePoint now) const noexcept;
 
     double m_ratio = 1.0;
+    TimePoint m_measuredAt;
     double m_overdue = 0.0;
     double m_failureShare = 0.0;
     std::uint32_t m_suspicions = 0; ///< In a row; each lasts longer.
--- a/src/daemon/agent_process.cpp
+++ b/src/daemon/agent_process.cpp
@@ -97,6 +97,7 @@
         {"runs_lost", counters.runsLost},
         {"runs_handed_back", counters.handedBack},
         {"starts_unanswered", counters.startsUnanswered},
+        {"starts_repeated", counters.startsRepeated},
         {"looks_failed", counters.looksFailed},
         {"coordinators_silent", counters.coordinatorsSilent},
         {"connections_replaced", counters.connectionsReplaced},
