Coordinators count as alive by what is certain; late starts need the other entries to know; foreign runs bar new ones

Change: a coordinator's silence counts from the latest moment at which it lived for certain; starts are not repeated across lives of the server; an entry that stood still turns waiting requests away; from 900 ms after a job came in, a start needs the others' echo.

--- a/src/core/dispatch/agent_dispatch.cpp
+++ b/src/core/dispatch/agent_dispatch.cpp
@@ -80,12 +80,15 @@
     }
     if (arrival == PeerSession::Arrival::NewLife) {
         stopRunsOf(now, from, "its coordinator restarted");
+        coordinator.confirmedAt = TimePoint();
         coordinator.unacknowledged.clear();
         coordinator.sentUpTo = 0;
         coordinator.lastEvent = 0;
         coordinator.ordersSeen = 0;
     }
-    coordinator.runsStopped = false;
+    if (const std::optional<Duration> age = PeerSession::maxAge(envelope, now)) {
+        coordinator.confirmedAt = std::max(coordinator.confirmedAt, now - *age);
+    }
     while (!coordinator.unacknowledged.empty() && coordinator.unacknowledged.front().number <= envelope.eventsSeen) {
         coordinator.unacknowledged.pop_front();
         coordinator.waitingSince = now;
@@ -193,10 +196,12 @@
         if (record == nullptr) {
             return;
         }
-        if (record->startBy < now) {
+        // After this process has stood still, a stop may wait unread behind whatever is handled first.
+        const bool orphaned = !confirmed(now, record->coordinator);
+        if (record->startBy < now || orphaned) {
             const RunRecord expired = *record;
             m_ledger.remove(expired.ref.task);
-            handBack(now, expired, RefusalReason::Expired);
+            handBack(now, expired, orphaned ? RefusalReason::TooOld : RefusalReason::Expired);
             continue;
         }
         if (!m_ledger.hasRoomFor(record->need)) {
@@ -208,6 +213,13 @@
     }
 }
 
+bool AgentDispatch::confirmed(TimePoint now, const ProcessId &process) const
+{
+    const Coordinators::const_iterator it = m_coordinators.find(process.endpoint);
+    return it != m_coordinators.end() && it->second.session.incarnation() == process.incarnation
+        && now - it->second.confirmedAt < m_settings.timing.coordinatorSilence;
+}
+
 void AgentDispatch::sendStart(TimePoint now, RunRecord &record)
 {
     record.notAfter = ServerTime(m_clock.atLeast(now).value() + toMs(m_settings.timing.startValid));
@@ -224,7 +236,7 @@
     for (RunLedger::Records::value_type &entry : m_ledger.records()) {
         RunRecord &record = entry.second;
         const bool overdue = record.state == RunRecord::State::Starting && now - record.orderSentAt > m_settings.timing.retryCall;
-        if (overdue && !record.stopWanted && record.orders < m_settings.timing.maxOrders && m_life && m_clock.known()) {
+        if (overdue && !record.stopWanted && !record.lifeChanged && record.orders < m_settings.timing.maxOrders && m_life && m_clock.known()) {
             ++m_counters.startsRepeated;
             sendStart(now, record);
         }
@@ -667,7 +679,7 @@
     for (const ListedRun &listed : inventory.running) {
         running[listed.run.task] = listed.run.run;
         RunRecord *record = m_ledger.find(listed.run.task);
-        if (record == nullptr && m_ended.count(listed.run) == 0) {
+        if (record == nullptr) {
             m_log.write(LogLevel::Warning, "foreign-run", describe(listed.run));
             record = &m_ledger.adopt(listed.run);
             stop(now, *record);
@@ -703,6 +715,10 @@
         end(now, record, doubtful ? RunEnd::NeverStarted : RunEnd::Lost,
             doubtful ? RefusalReason::Unreachable : RefusalReason::None, doubtful);
     }
+    if (foreign && m_listed) {
+        // Its size is not known, so there may be no room for anything else.
+        m_listed = false;
+    }
     if (!m_listed && inventory.whole && !foreign) {
         m_listed = true;
         m_log.write(LogLevel::Info, "server-listed",
@@ -767,7 +783,11 @@
     for (Coordinators::iterator it = m_coordinators.begin(); it != m_coordinators.end();) {
         Coordinator &coordinator = it->second;
         const Duration silence = coordinator.session.silence(now);
-        if (silence > m_settings.timing.coordinatorSilence && coordinator.session.heard() && !coordinator.runsStopped) {
+        const bool orphaned =
+            coordinator.session.heard() && now - coordinator.confirmedAt > m_settings.timing.coordinatorSilence;
+        if (!orphaned) {
+            coordinator.runsStopped = false;
+        } else if (!coordinator.runsStopped) {
             coordinator.runsStopped = true;
             ++m_counters.coordinatorsSilent;
             stopRunsOf(now, it->first, "no message from its coordinator");
--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -119,6 +119,7 @@
         { }
 
         PeerSession session;
+        TimePoint confirmedAt; ///< It lived then for certain: the latest message can't have been sent earlier.
         std::deque<RunEvent> unacknowledged;
         std::uint64_t lastEvent = 0;
         std::uint64_t sentUpTo = 0; ///< Events up to this number have been sent at least once.
@@ -137,6 +138,7 @@
     void takeStop(TimePoint now, const ProcessId &from, const StopOrder &order);
     void startWaiting(TimePoint now);
     void expireWaiting(TimePoint now);
+    bool confirmed(TimePoint now, const ProcessId &process) const;
     void sendStart(TimePoint now, RunRecord &record);
     void repeatStarts(TimePoint now);
     void handBackWaiting(TimePoint now, RefusalReason reason);
--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -179,9 +179,23 @@
     return nullptr;
 }
 
+bool EntryDispatch::mayStart(TimePoint now, const Job &job) const
+{
+    if (now - job.receivedAt < m_settings.timing.lateStart) {
+        return true;
+    }
+    // A message sent this long after the job came in was preceded by a heartbeat that names the job.
+    const TimePoint named = job.receivedAt + m_settings.timing.heartbeatEvery;
+    return std::all_of(m_entries.begin(), m_entries.end(), [&](const std::pair<const Endpoint, EntryPeer> &entry) {
+        const PeerSession &session = entry.second.session;
+        return !session.heard() || session.silence(now) > m_settings.timing.entryAlive || session.echoed() >= named;
+    });
+}
+
 void EntryDispatch::submit(TimePoint now, ClientTag client, const std::shared_ptr<const QueueRule> &queue, const JobId &id,
                            const std::shared_ptr<const JobSpec> &spec, Duration patience)
 {
+    noteTime(now);
     ++m_counters.submitted;
     const Jobs::iterator existing = m_jobs.find(id);
     if (existing != m_jobs.end()) {
@@ -222,6 +236,10 @@
         sendToEntry(now, *elsewhere, entry, JoinJob{id});
         return;
     }
+    if (now - m_thawedAt < m_settings.timing.thawWindow) {
+        refuse(now, client, id, *queue, "stood-still");
+        return;
+    }
     if (queue->needsAdvice) {
         refuse(now, client, id, *queue, "advice-not-supported");
         return;
@@ -315,6 +333,10 @@
     if (waiting.empty()) {
         return true;
     }
+    if (!mayStart(now, job)) {
+        job.reason = "cut-off";
+        return false;
+    }
     request.tasks = static_cast<std::uint32_t>(waiting.size());
     const std::vector<Place> places = m_placement.place(m_fleet, request, now);
     if (places.empty()) {
@@ -874,6 +896,9 @@
                 }
                 if (now - job.endingSince > m_settings.timing.forgetPeer) {
                     task.phase = TaskState::Phase::Waiting;
+                } else if (now - task.askedAgainAt > StopAgain) {
+                    // Silence may have one direction only.
+                    stopRun(now, job, RunRef{TaskRef{job.id, 0, i, k}, task.run}, task);
                 }
                 continue;
             }
@@ -881,6 +906,10 @@
             if (task.stopSent && now - task.askedAgainAt > StopAgain) {
                 stopRun(now, job, ref, task);
             } else if (task.phase == TaskState::Phase::Ordered && now - task.askedAgainAt > m_settings.timing.askAgain) {
+                if (!job.answer && !mayStart(now, job)) {
+                    finish(now, job, JobAnswer::NotRun, "cut-off");
+                    return;
+                }
                 task.askedAgainAt = now;
                 ++m_counters.ordersRepeated;
                 sendOrder(now, *agent, job, i, {OrderedRun{k, task.run}});
@@ -960,8 +989,19 @@
     }
 }
 
+void EntryDispatch::noteTime(TimePoint now)
+{
+    if (m_tickedAt != TimePoint() && now - m_tickedAt > m_settings.timing.stoodStill) {
+        m_log.write(LogLevel::Warning, "stood-still", "for_ms=" + ms(now - m_tickedAt));
+        m_thawedAt = now;
+        m_tickedAt = now;
+    }
+}
+
 void EntryDispatch::onTick(TimePoint now)
 {
+    noteTime(now);
+    m_tickedAt = now;
     noteOverdueRuns(now);
     std::vector<JobId> ids;
     ids.reserve(m_jobs.size());
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -24,7 +24,14 @@
     Duration entrySilence = milliseconds(700);
     Duration rememberEnded = seconds(10); ///< A client may ask again seconds after its answer.
     Duration confirmWithin = milliseconds(150); ///< How long a refusal waits for agents to confirm that nothing began.
-    Duration placeAgain = milliseconds(10);
+    /// A process that stood still for longer finds requests whose clients may have gone elsewhere: they do so 1.3 s after a broken
+    /// connection, and other entries hear of active jobs within a heartbeat.
+    Duration stoodStill = milliseconds(700);
+    /// From this age of a job on, a start needs the other entries to have heard that the job is active here: its client may have
+    /// submitted it to one of them after 1.3 s.
+    Duration lateStart = milliseconds(900);
+    Duration entryAlive = seconds(3); ///< An entry that is silent longer is taken as gone.
+    Duration thawWindow = milliseconds(150); ///< What had been waiting unread is read within this time.
     Duration answerMargin = milliseconds(15); ///< An answer leaves this long before its client stops waiting.
     Duration configRepeat = milliseconds(400);
     Duration retryAfter = seconds(1); ///< Told to clients that are turned away; a burst lasts for seconds.
@@ -139,6 +146,7 @@
 
     using Jobs = std::unordered_map<JobId, Job, JobIdHash>;
 
+    void noteTime(TimePoint now);
     void takeAgentReport(TimePoint now, const Envelope &envelope, const AgentReport &report);
     void takeEntryMessage(TimePoint now, const Envelope &envelope);
     void takeConfig(const ConfigBlob &config);
@@ -170,6 +178,7 @@
     void passConfig(TimePoint now, PeerSession &session, TimePoint &sentAt, const Endpoint &to, std::uint64_t eventsSeen);
     EntryReport heartbeat(bool toEntry) const;
     std::vector<Endpoint> knownEntries() const;
+    bool mayStart(TimePoint now, const Job &job) const;
     const Endpoint *coordinatorElsewhere(TimePoint now, const JobId &id) const;
     void refuse(TimePoint now, ClientTag client, const JobId &id, const QueueRule &queue, const char *reason);
 
@@ -189,6 +198,8 @@
     std::map<std::string, RunTimeEstimate> m_estimates; ///< By queue.
     ConfigBlob m_config;
     TimePoint m_overdueNotedAt;
+    TimePoint m_tickedAt;
+    TimePoint m_thawedAt;
 };
 
 } // namespace cuminscale::dispatch
--- a/src/core/dispatch/peer_session.cpp
+++ b/src/core/dispatch/peer_session.cpp
@@ -26,6 +26,7 @@
         m_theirSentAt = envelope.sentAt;
         m_theirSentReceivedAt = now;
     }
+    m_echoed = std::max(m_echoed, envelope.echoOf);
     m_configVersion = std::max(m_configVersion, envelope.configVersion);
     if (m_unseenSince != TimePoint() && envelope.echoOf >= m_unseenSince) {
         // Everything up to the echo has arrived; what was sent later counts from the last sending.
--- a/src/core/dispatch/peer_session.h
+++ b/src/core/dispatch/peer_session.h
@@ -62,6 +62,12 @@
         return m_incarnation;
     }
 
+    /// Everything that was sent up to then has reached the peer, or was on a connection that was replaced since.
+    TimePoint echoed() const noexcept
+    {
+        return m_echoed;
+    }
+
     std::uint64_t configVersion() const noexcept
     {
         return m_configVersion;
@@ -80,6 +86,7 @@
     TimePoint m_theirSentAt; ///< Highest sending time of the peer's, on its clock.
     TimePoint m_theirSentReceivedAt; ///< When that message came in.
     TimePoint m_sentAt;
+    TimePoint m_echoed; ///< Highest own sending time that the peer has seen.
     TimePoint m_unseenSince; ///< When the oldest own message was sent that the peer has not echoed.
     TimePoint m_replacedAt;
     std::uint64_t m_configVersion = 0;
