A job that was given up stays active for other entries until its runs are over; repeated starts need a live coordinator

Change: such a job is told as active until its runs are over; starts are repeated only for a coordinator that is confirmed alive.

--- a/src/core/dispatch/agent_dispatch.cpp
+++ b/src/core/dispatch/agent_dispatch.cpp
@@ -236,7 +236,8 @@
     for (RunLedger::Records::value_type &entry : m_ledger.records()) {
         RunRecord &record = entry.second;
         const bool overdue = record.state == RunRecord::State::Starting && now - record.orderSentAt > m_settings.timing.retryCall;
-        if (overdue && !record.stopWanted && !record.lifeChanged && record.orders < m_settings.timing.maxOrders && m_life && m_clock.known()) {
+        const bool wanted = !record.stopWanted && !record.lifeChanged && confirmed(now, record.coordinator);
+        if (overdue && wanted && record.orders < m_settings.timing.maxOrders && m_life && m_clock.known()) {
             ++m_counters.startsRepeated;
             sendStart(now, record);
         }
@@ -783,8 +784,7 @@
     for (Coordinators::iterator it = m_coordinators.begin(); it != m_coordinators.end();) {
         Coordinator &coordinator = it->second;
         const Duration silence = coordinator.session.silence(now);
-        const bool orphaned =
-            coordinator.session.heard() && now - coordinator.confirmedAt > m_settings.timing.coordinatorSilence;
+        const bool orphaned = coordinator.session.heard() && now - coordinator.confirmedAt > m_settings.timing.coordinatorSilence;
         if (!orphaned) {
             coordinator.runsStopped = false;
         } else if (!coordinator.runsStopped) {
--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -766,13 +766,17 @@
         addEntries(now, report->entries);
     } else if (const JoinJob *join = std::get_if<JoinJob>(&envelope.message)) {
         const Jobs::iterator job = m_jobs.find(join->job);
+        JobStanding::State state = standing(join->job);
         if (job != m_jobs.end() && !job->second.answered) {
             std::vector<Endpoint> &joiners = job->second.joiners;
             if (std::find(joiners.begin(), joiners.end(), from) == joiners.end()) {
                 joiners.push_back(from);
             }
+        } else if (job != m_jobs.end() && state != JobStanding::State::Succeeded) {
+            // Given up, but runs of it may not be over: the other entry asks again until they are.
+            state = JobStanding::State::Active;
         }
-        sendToEntry(now, from, entry, JobStanding{join->job, standing(join->job)});
+        sendToEntry(now, from, entry, JobStanding{join->job, state});
     } else if (const JobStanding *state = std::get_if<JobStanding>(&envelope.message)) {
         takeStanding(now, *state);
     } else if (const CancelJob *cancelled = std::get_if<CancelJob>(&envelope.message)) {
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -24,8 +24,8 @@
     Duration entrySilence = milliseconds(700);
     Duration rememberEnded = seconds(10); ///< A client may ask again seconds after its answer.
     Duration confirmWithin = milliseconds(150); ///< How long a refusal waits for agents to confirm that nothing began.
-    /// A process that stood still for longer finds requests whose clients may have gone elsewhere: they do so 1.3 s after a broken
-    /// connection, and other entries hear of active jobs within a heartbeat.
+    /// A process that stood still for longer finds requests whose clients may have gone elsewhere: they do so 1.3 s after a
+    /// broken connection, and other entries hear of active jobs within a heartbeat.
     Duration stoodStill = milliseconds(700);
     /// From this age of a job on, a start needs the other entries to have heard that the job is active here: its client may have
     /// submitted it to one of them after 1.3 s.
