--- a/src/adapters/zmq_link.cpp
+++ b/src/adapters/zmq_link.cpp
@@ -21,9 +21,9 @@
 constexpr int HighWaterMark = 1000;
 constexpr std::int64_t MaxMessageBytes = 16 << 20;
 constexpr int ReconnectMs = 50;
-constexpr int ReconnectMaxMs = 400;
+constexpr int ReconnectMaxMs = 100;
 /// A connection attempt into a partition is given up, so that the next one finds the path once it is back.
-constexpr int ConnectTimeoutMs = 600;
+constexpr int ConnectTimeoutMs = 250;
 constexpr int MaxSockets = 8192;
 /// Messages read before timers and HTTP have their turn.
 constexpr int ReadBurst = 64;
