--- a/src/adapters/dispatch_codec.cpp
+++ b/src/adapters/dispatch_codec.cpp
@@ -2,8 +2,6 @@
 
 #include "proto/dispatch.pb.h"
 
-#include <algorithm>
-
 namespace cuminscale::dispatch
 {
 
@@ -50,10 +48,9 @@
     to->set_draining(from.draining);
     put(from.capacity, to->mutable_capacity());
     put(from.free, to->mutable_free());
-    for (const std::int64_t queued : from.queuedCpuMilli) {
-        to->add_queued_cpu_milli(queued);
-    }
-    to->set_release_rate(from.releaseRate);
+    to->set_queued_cpu_milli(from.queuedCpuMilli);
+    to->set_queued_work(from.queuedWork);
+    to->set_running_work(from.runningWork);
     for (const std::string &label : from.labels) {
         to->add_labels(label);
     }
@@ -215,10 +212,9 @@
     report.load.draining = from.load().draining();
     report.load.capacity = readAmount(from.load().capacity());
     report.load.free = readAmount(from.load().free());
-    const std::size_t bounds = static_cast<std::size_t>(from.load().queued_cpu_milli_size());
-    m_good = m_good && bounds == SlackBounds.size();
-    std::copy_n(from.load().queued_cpu_milli().begin(), std::min(bounds, SlackBounds.size()), report.load.queuedCpuMilli.begin());
-    report.load.releaseRate = from.load().release_rate();
+    report.load.queuedCpuMilli = from.load().queued_cpu_milli();
+    report.load.queuedWork = from.load().queued_work();
+    report.load.runningWork = from.load().running_work();
     report.load.labels.assign(from.load().labels().begin(), from.load().labels().end());
     report.ordersSeen = from.orders_seen();
     for (const wire::RunEvent &event : from.events()) {
--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -317,7 +317,6 @@
     request.domain = m_settings.domain;
     request.need = spec.need;
     request.expectedRun = step.expectedRun;
-    request.slack = std::max(job.objectiveAt - now - step.expectedRun - TravelTime, Duration(0));
     request.requiredLabel = spec.requiredLabel;
     request.preferredRack = spec.preferredRack;
     request.maxPerServer = spec.maxPerServer;
@@ -380,11 +379,10 @@
     for (const std::pair<const Endpoint, std::vector<OrderedRun>> &entry : byAgent) {
         AgentView &agent = *m_fleet.find(entry.first);
         const Resources &need = job.spec->steps[stepIndex].need;
+        const std::int64_t n = static_cast<std::int64_t>(entry.second.size());
         sendOrder(now, agent, job, stepIndex, entry.second);
-        const TimePoint inTimeBy = job.objectiveAt - job.steps[stepIndex].expectedRun - TravelTime;
-        for (std::size_t i = 0; i < entry.second.size(); ++i) {
-            agent.unreported.push_back(AgentView::Unreported{agent.lastOrder, need, inTimeBy});
-        }
+        agent.unreported.push_back(
+            AgentView::Unreported{agent.lastOrder, n * need.cpuMilli, n * need.memoryMb, n * need.accelerators});
     }
 }
 
--- a/src/core/dispatch/fleet_view.cpp
+++ b/src/core/dispatch/fleet_view.cpp
@@ -11,20 +11,16 @@
 constexpr std::size_t MaxAgents = 4096;
 /// Two missed heartbeats: an agent that is silent longer gets no new work.
 constexpr Duration AgentSilence = milliseconds(500);
-/// A core in ten seconds, for servers whose runs are not known.
-constexpr double SlowestRelease = 0.0001;
 
 } // namespace
 
-Resources AgentView::effectiveFree(TimePoint now, Duration slack) const
+Resources AgentView::effectiveFree() const
 {
     Resources room = load.free;
     for (const Unreported &order : unreported) {
-        if (slackIndex(order.inTimeBy - now) <= slackIndex(slack)) {
-            room -= order.need;
-        }
+        room -= Resources{order.cpuMilli, order.memoryMb, order.accelerators};
     }
-    room.cpuMilli -= load.queuedCpuMilli[slackIndex(slack)];
+    room.cpuMilli -= load.queuedCpuMilli;
     return room;
 }
 
@@ -33,8 +29,11 @@
     if (need.fits(free)) {
         return Duration(0);
     }
+    // With all runs of about the same length L, busy processor B comes free at the rate B / L, and the running work is B x L / 2.
+    const double busy = static_cast<double>(std::max<std::int64_t>(load.capacity.cpuMilli - load.free.cpuMilli, 1));
+    const double rate = busy * busy / (2.0 * std::max(load.runningWork, 1.0));
     const double missing = static_cast<double>(std::max<std::int64_t>(need.cpuMilli - free.cpuMilli, 1));
-    return Duration(static_cast<std::int64_t>(missing / std::max(load.releaseRate, SlowestRelease)));
+    return Duration(static_cast<std::int64_t>(missing / rate));
 }
 
 bool AgentView::hasLabel(std::string_view label) const
@@ -90,8 +89,8 @@
         ++usable;
         suspect += agent.health.suspect(now) ? 1 : 0;
         capacity += agent.load.capacity.cpuMilli;
-        free += agent.effectiveFree(now, SlackBounds.back()).cpuMilli;
-        queued += agent.load.queuedCpuMilli.back();
+        free += agent.effectiveFree().cpuMilli;
+        queued += agent.load.queuedCpuMilli;
         oldest = std::max(oldest, agent.session.silence(now));
         slowest = std::max(slowest, agent.health.slowness(now));
     }
--- a/src/core/dispatch/fleet_view.h
+++ b/src/core/dispatch/fleet_view.h
@@ -21,8 +21,9 @@
     struct Unreported
     {
         std::uint64_t order = 0;
-        Resources need;
-        TimePoint inTimeBy;
+        std::int64_t cpuMilli = 0;
+        std::int64_t memoryMb = 0;
+        std::int64_t accelerators = 0;
     };
 
     Endpoint endpoint;
@@ -38,10 +39,11 @@
     std::deque<Unreported> unreported;
     TimePoint configSentAt;
 
-    /// Room as reported, less what has been asked for since and what waits in front of a task with this slack.
-    Resources effectiveFree(TimePoint now, Duration slack) const;
+    /// Room as reported, less what has been asked for since.
+    Resources effectiveFree() const;
 
-    /// How long a task is expected to wait, given the effective room: the rest comes free as runs end.
+    /// How long a task that needs this much processor is expected to wait. Queued work goes first; room comes free at the rate at
+    /// which the running work ends.
     Duration expectedWait(const Resources &need, const Resources &free) const;
 
     bool hasLabel(std::string_view label) const;
--- a/src/core/dispatch/placement.cpp
+++ b/src/core/dispatch/placement.cpp
@@ -50,7 +50,7 @@
         }
         Candidate candidate;
         candidate.agent = &agent;
-        candidate.free = agent.effectiveFree(now, request.slack);
+        candidate.free = agent.effectiveFree();
         candidate.sameStep = countFor(request.alreadyThere, entry.first);
         candidate.avoided = std::find(request.avoid.begin(), request.avoid.end(), entry.first) != request.avoid.end();
         const bool probing = agent.health.onProbation();
--- a/src/core/dispatch/placement.h
+++ b/src/core/dispatch/placement.h
@@ -13,7 +13,6 @@
     std::string domain; ///< Where the entry is: bytes to other failure domains cost more.
     Resources need;
     Duration expectedRun{0}; ///< On a sound server.
-    Duration slack{0}; ///< How long a task may wait and still end in time.
     std::string requiredLabel;
     std::string preferredRack;
     std::uint32_t maxPerServer = 0;
--- a/src/core/dispatch/run_ledger.cpp
+++ b/src/core/dispatch/run_ledger.cpp
@@ -10,8 +10,8 @@
 namespace
 {
 
-/// Declared run times below this are taken as this long.
-constexpr Duration ShortestRun = milliseconds(5);
+/// A run that has used its estimate up is taken to need this part of it more.
+constexpr double OverdueShare = 0.25;
 
 } // namespace
 
@@ -95,19 +95,21 @@
 {
     load.capacity = m_capacity;
     load.free = free();
-    load.queuedCpuMilli = {};
-    load.releaseRate = 0;
+    load.queuedCpuMilli = 0;
+    load.queuedWork = 0;
+    load.runningWork = 0;
     for (const Records::value_type &entry : m_records) {
         const RunRecord &record = entry.second;
-        if (record.state != RunRecord::State::Queued) {
-            // Runs of one length are at all stages of it, so each stands for its processor once in its length.
-            load.releaseRate += static_cast<double>(record.need.cpuMilli)
-                / static_cast<double>(std::max<Duration::rep>(record.estimate.count(), ShortestRun.count()));
+        const double estimate = static_cast<double>(record.estimate.count());
+        const double cpu = static_cast<double>(record.need.cpuMilli);
+        if (record.state == RunRecord::State::Queued) {
+            load.queuedCpuMilli += record.need.cpuMilli;
+            load.queuedWork += cpu * estimate;
             continue;
         }
-        for (std::size_t i = slackIndex(record.inTimeBy - now); i < SlackBounds.size(); ++i) {
-            load.queuedCpuMilli[i] += record.need.cpuMilli;
-        }
+        const double elapsed =
+            record.state == RunRecord::State::Running ? static_cast<double>((now - record.startedAt).count()) : 0.0;
+        load.runningWork += cpu * std::max(estimate - elapsed, OverdueShare * estimate);
     }
 }
 
--- a/src/core/dispatch/types.cpp
+++ b/src/core/dispatch/types.cpp
@@ -44,15 +44,6 @@
     return id;
 }
 
-std::size_t slackIndex(Duration slack) noexcept
-{
-    std::size_t i = 0;
-    while (i + 1 < SlackBounds.size() && SlackBounds[i] < slack) {
-        ++i;
-    }
-    return i;
-}
-
 std::string toString(const TaskRef &task)
 {
     std::string text(task.job.text());
--- a/src/core/dispatch/types.h
+++ b/src/core/dispatch/types.h
@@ -116,14 +116,8 @@
     std::vector<StepSpec> steps;
 };
 
-/// Bounds, from now, on the latest start in time of a waiting task. Tasks that are nearer to it start first, so what waits in
-/// front of a task depends on its own bound. The objectives of short, middle and long tasks leave about 90, 180 and 600 ms.
-constexpr std::array<Duration, 5> SlackBounds = {milliseconds(50), milliseconds(100), milliseconds(200), milliseconds(400),
-                                                 std::chrono::hours(1)};
-using QueuedBySlack = std::array<std::int64_t, SlackBounds.size()>;
-
-/// The position of the first bound that is not below a slack.
-std::size_t slackIndex(Duration slack) noexcept;
+/// Work that is in progress or waits, as an amount: processor times time.
+using CoreTime = double; // thousandths of a core times microseconds
 
 /// How loaded one backend server is, as its agent reports it.
 struct ServerLoad
@@ -132,8 +126,9 @@
     bool draining = false;
     Resources capacity;
     Resources free;
-    QueuedBySlack queuedCpuMilli{}; ///< Asked for by waiting tasks, for each bound those that are within it.
-    double releaseRate = 0; ///< Thousandths of a core that come free in a microsecond, as runs end.
+    std::int64_t queuedCpuMilli = 0; ///< Asked for by tasks that wait at the agent.
+    CoreTime queuedWork = 0;
+    CoreTime runningWork = 0; ///< Estimated rest of what runs.
     std::vector<std::string> labels;
 };
 
