--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,7 @@
 
 demo: build
 	python3 tools/demo.py
+	python3 tools/platform_demo.py
 
 test: build
 	python3 tools/run_tests.py --build $(BUILD)
@@ -53,7 +54,7 @@
 fuzz: deps
 	@dpkg -s libclang-rt-14-dev >/dev/null 2>&1 || apt-get install -y -qq clang libclang-rt-14-dev >/dev/null
 	@cmake -S . -B build-fuzz -G Ninja -DCUMINSCALE_FUZZ=ON -DCMAKE_CXX_COMPILER=clang++ >/dev/null
-	@cmake --build build-fuzz -j $(JOBS) --target fuzz_peer_codec fuzz_caller_api fuzz_announcement fuzz_etcd_messages fuzz_settings | tail -n 1
+	@cmake --build build-fuzz -j $(JOBS) --target fuzz_peer_codec fuzz_caller_api fuzz_announcement fuzz_etcd_messages fuzz_settings fuzz_dispatch_codec fuzz_platform | tail -n 1
 	@for f in build-fuzz/fuzz/fuzz_*[a-z]; do echo "$$f"; $$f -max_total_time=$(FUZZ_SECONDS) -verbosity=0 -print_final_stats=1 2>&1 | grep -E 'ERROR|number_of_executed' ; done
 
 slopes: build
--- /dev/null
+++ b/fuzz/fuzz_dispatch_codec.cpp
@@ -0,0 +1,8 @@
+#include "adapters/dispatch_codec.h"
+
+/// Messages between entries and agents.
+extern "C" int LLVMFuzzerTestOneInput(const unsigned char *data, std::size_t size)
+{
+    static_cast<void>(cuminscale::dispatch::decode(std::string_view(reinterpret_cast<const char *>(data), size)));
+    return 0;
+}
--- /dev/null
+++ b/fuzz/fuzz_platform.cpp
@@ -0,0 +1,15 @@
+#include "platform/client_gateway.h"
+#include "platform/config_document.h"
+#include "platform/server_gateway.h"
+
+/// Everything that comes in from the platform as JSON.
+extern "C" int LLVMFuzzerTestOneInput(const unsigned char *data, std::size_t size)
+{
+    const std::string_view text(reinterpret_cast<const char *>(data), size);
+    std::string reason;
+    static_cast<void>(cuminscale::platform::parseConfig(text, reason));
+    static_cast<void>(cuminscale::platform::parseJob(text));
+    static_cast<void>(cuminscale::platform::parseAnnouncement("i", text));
+    static_cast<void>(cuminscale::platform::parseInventory(text));
+    return 0;
+}
--- a/spec/check.py
+++ b/spec/check.py
@@ -23,6 +23,10 @@
     ("configuration: never reverts, accepted is never lost", "configuration.pml", [], ["-DSAFETY"], ["-E", "-m500000"], False),
     ("configuration without change ids has to tell a wrong outcome", "configuration.pml", ["-DNOID"], ["-DSAFETY"],
      ["-E", "-m500000"], True),
+    ("run: over before it starts elsewhere, with late orders and a restarted server", "run.pml", [], ["-DSAFETY"],
+     ["-E", "-m500000"], False),
+    ("run reported without a stop has to run twice", "run.pml", ["-DNOBAR"], ["-DSAFETY"], ["-E", "-m500000"], True),
+    ("run settled without a raised token has to run twice", "run.pml", ["-DNOTOKEN"], ["-DSAFETY"], ["-E", "-m500000"], True),
 ]
 
 
--- /dev/null
+++ b/tools/platform_demo.py
@@ -0,0 +1,141 @@
+#!/usr/bin/env python3
+"""Jobs on the users' platform, through real processes: two entries, three agents, and stand-ins for the platform."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+from cluster import BUILD, http
+from platform_standin import BackendServer, Store
+
+ENTRIES = ["127.0.1.1", "127.0.1.2"]
+AGENTS = ["127.0.2.1", "127.0.2.2", "127.0.2.3"]
+SERVICE = "pairing"
+HOST = {"Host": "pairing.example", "Content-Type": "application/json", "Deadline-Ms": "5000"}
+
+
+def free_ports(count):
+    """Ports that are free on all loopback addresses now."""
+    sockets = [socket.create_server(("0.0.0.0", 0)) for _ in range(count)]
+    ports = [s.getsockname()[1] for s in sockets]
+    for s in sockets:
+        s.close()
+    return ports
+
+
+class Platform:
+    """Starts everything, and ends what it started."""
+
+    def __init__(self, folder):
+        self.folder, self.children = folder, {}
+        self.peer, self.clients, self.ready, self.metrics, self.announce, self.app = free_ports(6)
+        self.store = Store()
+        self.servers = [BackendServer(SERVICE, "%s:%d" % (ip, self.announce)) for ip in AGENTS]
+        for server, ip in zip(self.servers, AGENTS):
+            server.serve((ip, self.app))
+        self.configure(1)
+        for ip in ENTRIES + AGENTS:
+            self.start(ip)
+
+    def configure(self, version):
+        route = {"name": "match", "host": "pairing.example", "prefix": "/match/", "type": "non_idempotent", "timeout_ms": 1500,
+                 "target_latency_ms": 60, "priority": 0, "service": SERVICE, "max_attempts": 3, "slack_factor": 1.6}
+        limits = {"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+        self.store.put("op/config", json.dumps({"version": version, "routes": [route], "services": [], "limits": limits}))
+
+    def start(self, ip):
+        entry = ip in ENTRIES
+        settings = {
+            "role": "job-entry" if entry else "job-agent", "node": "node-" + ip, "failure_domain": "domain-a",
+            "peer": {"listen": "%s:%d" % (ip, self.peer), "entry_hosts": ["%s:1" % e for e in ENTRIES]},
+            "metrics": {"listen": "%s:%d" % (ip, self.metrics)}, "store": {"address": self.store.http.place}}
+        if entry:
+            settings["clients"] = {"listen": "%s:%d" % (ip, self.clients), "ready_listen": "%s:%d" % (ip, self.ready)}
+        else:
+            settings["server"] = {"announce_listen": "%s:%d" % (ip, self.announce), "address": "%s:%d" % (ip, self.app),
+                                  "service": SERVICE}
+        path = os.path.join(self.folder, ip + ".json")
+        with open(path, "w") as file:
+            json.dump(settings, file)
+        log = open(os.path.join(self.folder, ip + ".log"), "ab")
+        command = [os.path.join(BUILD, "src", "cuminscaled"), "--settings", path]
+        self.children[ip] = subprocess.Popen(command, stdout=log, stderr=log)
+
+    def wait_ready(self, seconds=20.0):
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            rooms = [http("GET", "%s:%d" % (ip, self.metrics), "/metrics")[2] for ip in ENTRIES]
+            if all("cuminscale_agents_usable %d\n" % len(AGENTS) in text for text in rooms):
+                return True
+            time.sleep(0.05)
+        return False
+
+    def submit(self, entry, job_id, count, run_ms):
+        steps = [{"count": count, "cpu": 2000, "mem_mb": 64, "estimate_ms": run_ms}]
+        body = {"spec": json.dumps({"run_ms": run_ms}), "best_effort": True, "steps": steps}
+        return http("POST", "%s:%d" % (ENTRIES[entry], self.clients), "/match/" + job_id, json.dumps(body), HOST)
+
+    def starts(self, job_id):
+        return [start for server in self.servers for start in server.starts if start[0].startswith(job_id)]
+
+    def stop(self):
+        codes = []
+        for child in self.children.values():
+            child.send_signal(signal.SIGTERM)
+        for child in self.children.values():
+            try:
+                codes.append(child.wait(10))
+            except subprocess.TimeoutExpired:
+                child.kill()
+                codes.append(child.wait())
+        return codes
+
+
+def run(platform):
+    ok = platform.wait_ready()
+    print("== a job of 12 tasks of 60 ms")
+    code, _, text = platform.submit(0, "00000000000000aa", 12, 60)
+    print(code, text, "starts:", len(platform.starts("00000000000000aa")))
+    ok = ok and code == 200 and len(platform.starts("00000000000000aa")) == 12
+    print("== the same job again, at the same entry: not run again")
+    code, _, text = platform.submit(0, "00000000000000aa", 12, 60)
+    print(code, text, "starts:", len(platform.starts("00000000000000aa")))
+    ok = ok and code == 200 and len(platform.starts("00000000000000aa")) == 12
+    print("== the store is away; an entry restarts and gets the configuration from the other")
+    platform.store.down = True
+    platform.children[ENTRIES[1]].kill()
+    platform.children[ENTRIES[1]].wait()
+    platform.start(ENTRIES[1])
+    ok = platform.wait_ready() and ok
+    code, _, text = platform.submit(1, "00000000000000bb", 4, 60)
+    print(code, text)
+    ok = ok and code == 200
+    platform.store.down = False
+    print("== what the entry logged about the job")
+    with open(os.path.join(platform.folder, ENTRIES[0] + ".log")) as log:
+        print("".join(line for line in log if "job=00000000000000aa" in line), end="")
+    codes = platform.stop()
+    print("exit codes after SIGTERM:", codes)
+    return ok and all(code == 0 for code in codes)
+
+
+def main():
+    with tempfile.TemporaryDirectory() as folder:
+        platform = Platform(folder)
+        try:
+            ok = run(platform)
+        finally:
+            for child in platform.children.values():
+                if child.poll() is None:
+                    child.kill()
+    print("platform demo", "succeeded" if ok else "FAILED")
+    return 0 if ok else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/platform_standin.py
@@ -0,0 +1,181 @@
+"""Stand-ins for the users' platform on loopback: its key-value store, and backend servers that announce themselves.
+
+They follow the published protocol as far as the demo and the tests of the tools need it.
+"""
+
+import base64
+import http.server
+import json
+import threading
+import time
+import urllib.parse
+import urllib.request
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, *_):
+        pass
+
+    def handle_any(self):
+        length = int(self.headers.get("Content-Length") or 0)
+        body = self.rfile.read(length)
+        url = urllib.parse.urlsplit(self.path)
+        query = {key: values[0] for key, values in urllib.parse.parse_qs(url.query).items()}
+        status, answer = self.server.owner.answer(self.command, url.path, query, json.loads(body) if body else {})
+        data = json.dumps(answer).encode()
+        self.send_response(status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+    do_GET = do_POST = do_PUT = do_DELETE = handle_any
+
+
+class Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+
+    def __init__(self, owner, address):
+        super().__init__(address, Handler)
+        self.owner = owner
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    def handle_error(self, request, client_address):
+        """A process that is killed breaks its connections; that is no error of the stand-in."""
+
+    @property
+    def place(self):
+        return "%s:%d" % self.server_address
+
+
+class Store:
+    """Items, revisions, watches and leases. Leases do not run out here."""
+
+    def __init__(self, address=("127.0.0.1", 0)):
+        self.items, self.revision, self.leases, self.down = {}, 100, 0, False
+        self.changed = threading.Condition()
+        self.http = Server(self, address)
+
+    def put(self, key, value, lease=0):
+        with self.changed:
+            self.revision += 1
+            created = self.items.get(key, {"created": self.revision})["created"]
+            self.items[key] = {"key": key, "value": base64.b64encode(value.encode()).decode(), "revision": self.revision,
+                               "created": created, "lease": lease}
+            self.changed.notify_all()
+
+    def answer(self, method, path, query, body):
+        if self.down:
+            return 503, {}
+        if path == "/kv-key":
+            item = self.items.get(query["key"])
+            return (200, dict(item, store_revision=self.revision)) if item else (404, {"store_revision": self.revision})
+        if path == "/kv-range":
+            with self.changed:
+                items = [item for key, item in sorted(self.items.items()) if key.startswith(query["prefix"])]
+            return 200, {"items": items, "has_more": False, "store_revision": self.revision}
+        if path == "/kv-watch":
+            return self.watch(query["prefix"], int(query["after"]), int(query["wait_ms"]))
+        if path == "/kv-lease":
+            self.leases += 1
+            return 200, {"lease": self.leases, "ttl_ms": body["ttl_ms"]}
+        if path == "/kv-txn":
+            return self.transact(body)
+        if path.startswith("/kv-keep/"):
+            return 200, {"ttl_ms": 6000}
+        return 200, {}
+
+    def watch(self, prefix, after, wait_ms):
+        def events():
+            return [item for key, item in self.items.items() if key.startswith(prefix) and item["revision"] > after]
+
+        with self.changed:
+            self.changed.wait_for(events, wait_ms / 1000.0)
+            return 200, {"events": events(), "store_revision": self.revision}
+
+    def transact(self, body):
+        with self.changed:
+            for row in body.get("expected_rev", []):
+                if self.items.get(row["key"], {"revision": 0})["revision"] != row["revision"]:
+                    return 412, {"items": []}
+        for item in body.get("set_keys", []):
+            self.put(item["key"], base64.b64decode(item["value"]).decode(), item.get("lease", 0))
+        return 200, {"revision": self.revision}
+
+
+class BackendServer:
+    """Runs tasks by waiting: `run_ms` in the payload says how long. Keeps leases, tokens and run numbers as the platform does."""
+
+    def __init__(self, service, agent_address, cpu=16000):
+        self.service, self.agent, self.cpu = service, agent_address, cpu
+        self.id = "i-%08x" % (id(self) & 0xFFFFFFFF)
+        self.born = int(time.time() * 1000)
+        self.started = time.monotonic()
+        self.sequence = self.token = self.ends = 0
+        self.lease = 0
+        self.running, self.highest, self.ended, self.starts = {}, {}, [], []
+        self.changed = threading.Condition()
+        self.closed = False
+
+    def serve(self, address):
+        self.http = Server(self, address)
+        threading.Thread(target=self.announce, daemon=True).start()
+
+    def clock(self):
+        return int((time.monotonic() - self.started) * 1000) + 1000
+
+    def announce(self):
+        while not self.closed:
+            self.sequence += 1
+            body = {"service": self.service, "address": self.http.place, "zone": "z", "version": "v1", "slots": 8, "state": "ready",
+                    "cold_ms": 0, "capacity": {"cpu": self.cpu, "mem_mb": 65536, "gpu": 0}, "labels": ["a", "r1"],
+                    "clock_ms": self.clock(), "seq": self.sequence, "born": self.born}
+            try:
+                request = urllib.request.Request("http://%s/instances/%s" % (self.agent, self.id), json.dumps(body).encode(),
+                                                 {"Content-Type": "application/json"}, method="PUT")
+                urllib.request.urlopen(request, timeout=1).close()
+                time.sleep(0.5)
+            except OSError:
+                time.sleep(0.1)  # the agent is not there yet
+
+    def finish(self, task, run, how):
+        with self.changed:
+            if self.running.get(task, (None,))[0] == run:
+                del self.running[task]
+                self.ends += 1
+                self.ended.append([self.ends, task, run, how, ""])
+                self.changed.notify_all()
+
+    def answer(self, method, path, query, body):
+        with self.changed:
+            if body.get("fencing_token", 0) < self.token:
+                return 409, {"clock_ms": self.clock(), "born": self.born, "reason": "fence"}
+            self.token = body.get("fencing_token", 0)
+            if path == "/run-start":
+                return self.start(body)
+            if path == "/run-stop":
+                self.highest[body["task"]] = max(self.highest.get(body["task"], 0), body["run_id"])
+                threading.Timer(0.01, self.finish, (body["task"], body["run_id"], "stopped")).start()
+                return 200, {"clock_ms": self.clock()}
+            self.ended = [end for end in self.ended if end[0] > body.get("last_seen", 0)]
+            if not self.ended and body.get("wait_ms", 0):
+                self.changed.wait_for(lambda: self.ended, body["wait_ms"] / 1000.0)
+            running = [[task, run, "", 0] for task, (run, _) in self.running.items()]
+            return 200, {"clock_ms": self.clock(), "born": self.born, "running": running, "finished": list(self.ended)}
+
+    def start(self, body):
+        task, run = body["task"], body["run_id"]
+        if self.running.get(task, (None,))[0] == run:
+            return 200, {"clock_ms": self.clock()}
+        if run <= self.highest.get(task, 0):
+            return 409, {"clock_ms": self.clock(), "reason": "old"}
+        if body["deadline_ms"] <= self.clock():
+            return 409, {"clock_ms": self.clock(), "reason": "late"}
+        self.highest[task] = run
+        self.running[task] = (run, body["spec"])
+        self.starts.append((task, run, body["spec"]))
+        threading.Timer(json.loads(body["spec"]).get("run_ms", 50) / 1000.0, self.finish, (task, run, "done")).start()
+        return 200, {"clock_ms": self.clock()}
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -63,9 +63,10 @@
 def check_generated(_):
     """The committed protobuf code is what the compiler makes of proto/."""
     with tempfile.TemporaryDirectory() as folder:
-        subprocess.run(["protoc", "--proto_path=proto", "--cpp_out=" + folder, "peer.proto"], cwd=ROOT, check=True)
-        same = all(open(os.path.join(folder, n)).read() == open(os.path.join(ROOT, "proto", n)).read() for n in ("peer.pb.h", "peer.pb.cc"))
-    return [("generated code matches proto/", same, "run: cd proto && protoc --cpp_out=. peer.proto")]
+        subprocess.run(["protoc", "--proto_path=proto", "--cpp_out=" + folder, "peer.proto", "dispatch.proto"], cwd=ROOT, check=True)
+        names = [proto + ending for proto in ("peer", "dispatch") for ending in (".pb.h", ".pb.cc")]
+        same = all(open(os.path.join(folder, n)).read() == open(os.path.join(ROOT, "proto", n)).read() for n in names)
+    return [("generated code matches proto/", same, "run: cd proto && protoc --cpp_out=. *.proto")]
 
 
 def check_programs(build):
