--- a/src/adapters/zmq_link.cpp
+++ b/src/adapters/zmq_link.cpp
@@ -18,7 +18,7 @@
 {
 
 /// Messages that wait for one peer. A peer that is further behind gets repeats later; an order that waits goes stale anyway.
-constexpr int HighWaterMark = 1000;
+constexpr int HighWaterMark = 250;
 constexpr std::int64_t MaxMessageBytes = 16 << 20;
 constexpr int ReconnectMs = 50;
 constexpr int ReconnectMaxMs = 100;
