--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -216,7 +216,7 @@
     void look(std::uint64_t number, const Look &order) override;
 
     /// Carries a call out at the server, with the faults that the world draws, and hands the answer back.
-    void callServer(std::function<Action(Server &)> carryOut, Action lost, Duration timeout);
+    void callServer(const std::function<Action(Server &)> &carryOut, Action lost, Duration timeout);
 
     Impl &world;
     std::size_t index;
@@ -274,7 +274,7 @@
     });
 }
 
-void DispatchWorld::Impl::Process::callServer(std::function<Action(Server &)> carryOut, Action lost, Duration timeout)
+void DispatchWorld::Impl::Process::callServer(const std::function<Action(Server &)> &carryOut, Action lost, Duration timeout)
 {
     const std::uint64_t thisLife = life;
     Server &server = *world.m_servers[index];
--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -309,9 +309,9 @@
 TEST_CASE("Damaged input never makes a decoder fail")
 {
     std::mt19937_64 random(7);
-    const std::string samples[] = {
-        Config, R"({"service":"s","state":"ready","seq":1,"clock_ms":1,"capacity":{"cpu":1,"mem_mb":1}})",
-        R"({"clock_ms":9,"running":[["5c0e7a21d94b36f8.0.1.17",2,"",41]],"finished":[]})"};
+    const std::string samples[] = {Config,
+                                   R"({"service":"s","state":"ready","seq":1,"clock_ms":1,"capacity":{"cpu":1,"mem_mb":1}})",
+                                   R"({"clock_ms":9,"running":[["5c0e7a21d94b36f8.0.1.17",2,"",41]],"finished":[]})"};
     for (int i = 0; i < 6000; ++i) {
         std::string text = samples[static_cast<std::size_t>(i) % 3];
         for (int k = 0; k < 3; ++k) {
@@ -333,8 +333,11 @@
     LogLines log;
     std::vector<std::string> seen;
     StoreClient::Handlers handlers;
-    handlers.onConfigDocument = [&seen](const std::string &document) { seen.push_back(document); };
-    handlers.onEntries = [](const std::vector<Endpoint> &) {};
+    handlers.onConfigDocument = [&seen](const std::string &document) {
+        seen.push_back(document);
+    };
+    handlers.onEntries = [](const std::vector<Endpoint> &) {
+    };
     StoreClient client(context, store.endpoint(), log, handlers);
     client.followConfig();
     REQUIRE(runUntil(context, [&]() { return store.watches == 1; }));
@@ -361,8 +364,11 @@
     LogLines log;
     std::vector<Endpoint> entries;
     StoreClient::Handlers handlers;
-    handlers.onConfigDocument = [](const std::string &) {};
-    handlers.onEntries = [&entries](const std::vector<Endpoint> &listed) { entries = listed; };
+    handlers.onConfigDocument = [](const std::string &) {
+    };
+    handlers.onEntries = [&entries](const std::vector<Endpoint> &listed) {
+        entries = listed;
+    };
     StoreClient client(context, store.endpoint(), log, handlers);
     client.registerEntry("n", Endpoint{Loopback, 77});
     REQUIRE(runUntil(context, [&]() { return store.writes == 1; }));
