The document is passed only to peers that make no progress, and to two agents a failure domain

Ruled out: the processor of the entries (0.05 of 0.12 cores). Change: src/core/dispatch/config_lag; entries help in turn after 0.9 s without progress (0.3 s for one that has no version), and give copies to two agents of their own failure domain only; agents help entries after 1.3 s or later.

--- a/src/core/dispatch/agent_dispatch.cpp
+++ b/src/core/dispatch/agent_dispatch.cpp
@@ -874,11 +874,14 @@
 
 void AgentDispatch::passConfig(TimePoint now, const Endpoint &to, Coordinator &coordinator)
 {
-    const bool behind = coordinator.session.heard() && coordinator.session.configVersion() < m_config.version;
-    if (!behind || now - coordinator.configSentAt < m_settings.timing.configRepeat) {
+    constexpr std::size_t Turns = 8;
+    const std::size_t turn = IdHash()(m_settings.self.endpoint) % Turns;
+    const Duration patience =
+        m_settings.timing.configPatience + static_cast<std::int64_t>(turn) * m_settings.timing.configStagger;
+    if (!coordinator.session.heard()
+        || !coordinator.configLag.overdue(now, coordinator.session.configVersion(), m_config.version, patience)) {
         return;
     }
-    coordinator.configSentAt = now;
     Envelope envelope = coordinator.session.seal(m_settings.self, false, now, m_config);
     envelope.configVersion = m_config.version;
     m_links.send(to, envelope);
--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -1,6 +1,7 @@
 /// Decisions of an agent: it alone starts and stops runs at the backend server beside it, and tells their coordinators.
 #pragma once
 
+#include "core/dispatch/config_lag.h"
 #include "core/dispatch/peer_session.h"
 #include "core/dispatch/run_ledger.h"
 #include "core/dispatch/server_clock.h"
@@ -20,7 +21,9 @@
     Duration heartbeatEvery = milliseconds(200); ///< Three heartbeats fit into the coordinators' silence limit of 700 ms.
     Duration lazyFlush = milliseconds(30); ///< News that nobody waits for is held this long, to share a message.
     Duration resendEvery = milliseconds(250); ///< Unacknowledged news is sent again; above the entries' heartbeat period.
-    Duration configRepeat = milliseconds(500); ///< Pause before the document is passed to the same entry again.
+    /// An entry that neither the store nor another entry has served for this long gets the document from an agent.
+    Duration configPatience = milliseconds(1300);
+    Duration configStagger = milliseconds(200); ///< Agents help at eight different times, drawn from their addresses.
     Duration maxOrderAge = milliseconds(300); ///< An older order comes from a connection or process that had stood still.
     /// Below the second that the platform grants: runs on a dead server are placed again that much sooner. A process is held up
     /// for a tenth of a second at times, and looks are repeated every 40 ms.
@@ -129,7 +132,7 @@
         std::uint64_t ordersSeen = 0;
         TimePoint flushBy; ///< Zero when nothing waits to be sent.
         TimePoint waitingSince; ///< When the oldest unacknowledged news was sent last.
-        TimePoint configSentAt;
+        ConfigLag configLag;
         bool fromSettings = false;
         bool runsStopped = false; ///< For its present silence.
     };
--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -1062,17 +1062,19 @@
     return report;
 }
 
-void EntryDispatch::passConfig(TimePoint now, PeerSession &session, TimePoint &sentAt, const Endpoint &to,
-                               std::uint64_t eventsSeen)
+Duration EntryDispatch::configPatience(const PeerSession &session) const
 {
-    const bool behind = session.heard() && session.configVersion() < m_config.version;
-    if (!behind || now - sentAt < m_settings.timing.configRepeat) {
-        return;
-    }
-    // The first look at a peer that is behind only starts the clock: most hear of the version from the store at the same time.
-    const bool first = sentAt == TimePoint();
-    sentAt = now;
-    if (first && session.configVersion() != 0) {
+    const std::vector<Endpoint> entries = knownEntries();
+    const std::ptrdiff_t before =
+        std::count_if(entries.begin(), entries.end(), [this](const Endpoint &entry) { return entry < m_settings.self.endpoint; });
+    const bool isNew = session.configVersion() == 0;
+    const Duration patience = isNew ? m_settings.timing.configPatienceNew : m_settings.timing.configPatience;
+    return patience + before * m_settings.timing.configStagger;
+}
+
+void EntryDispatch::passConfig(TimePoint now, PeerSession &session, ConfigLag &lag, const Endpoint &to, std::uint64_t eventsSeen)
+{
+    if (!session.heard() || !lag.overdue(now, session.configVersion(), m_config.version, configPatience(session))) {
         return;
     }
     Envelope envelope = session.seal(m_settings.self, true, now, m_config);
@@ -1083,6 +1085,7 @@
 
 void EntryDispatch::keepAgents(TimePoint now)
 {
+    std::size_t copies = 0;
     for (FleetView::Agents::iterator it = m_fleet.agents().begin(); it != m_fleet.agents().end();) {
         AgentView &agent = it->second;
         if (agent.session.silence(now) > m_settings.timing.forgetPeer) {
@@ -1099,7 +1102,10 @@
             || (agent.owesAcknowledgement && quiet >= m_settings.timing.acknowledgeWithin)) {
             sendToAgent(now, agent, heartbeat(false));
         }
-        passConfig(now, agent.session, agent.configSentAt, it->first, agent.eventsSeen);
+        if (agent.domain == m_settings.domain && copies < m_settings.timing.configCopies) {
+            ++copies;
+            passConfig(now, agent.session, agent.configLag, it->first, agent.eventsSeen);
+        }
         ++it;
     }
 }
@@ -1120,7 +1126,7 @@
         if (now - entry.session.lastSentAt() >= m_settings.timing.heartbeatEvery) {
             sendToEntry(now, it->first, entry, heartbeat(true));
         }
-        passConfig(now, entry.session, entry.configSentAt, it->first, 0);
+        passConfig(now, entry.session, entry.configLag, it->first, 0);
         ++it;
     }
 }
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -33,7 +33,11 @@
     Duration entryAlive = seconds(3); ///< An entry that is silent longer is taken as gone.
     Duration thawWindow = milliseconds(150); ///< What had been waiting unread is read within this time.
     Duration answerMargin = milliseconds(15); ///< An answer leaves this long before its client stops waiting.
-    Duration configRepeat = milliseconds(400);
+    /// A peer that the store serves has a new version within milliseconds; it has to be in force after 2 s.
+    Duration configPatience = milliseconds(900);
+    Duration configPatienceNew = milliseconds(300); ///< The same for one that has none yet and serves nobody.
+    Duration configStagger = milliseconds(150); ///< The entries help one after the other: the first is mostly enough.
+    std::size_t configCopies = 2; ///< Agents of its own failure domain that an entry gives the document, to outlive the entries.
     Duration retryAfter = seconds(1); ///< Told to clients that are turned away; a burst lasts for seconds.
     std::size_t maxJobs = 4096;
     std::size_t maxRemembered = 20000;
@@ -130,7 +134,7 @@
         PeerSession session;
         std::unordered_set<JobId, JobIdHash> activeJobs;
         bool fromSettings = false;
-        TimePoint configSentAt;
+        ConfigLag configLag;
     };
 
     /// A job that another entry coordinates.
@@ -175,7 +179,8 @@
     void releaseStranded(TimePoint now, AgentView &agent);
     void sendToAgent(TimePoint now, AgentView &agent, Message &&message);
     void sendToEntry(TimePoint now, const Endpoint &to, EntryPeer &entry, Message &&message);
-    void passConfig(TimePoint now, PeerSession &session, TimePoint &sentAt, const Endpoint &to, std::uint64_t eventsSeen);
+    void passConfig(TimePoint now, PeerSession &session, ConfigLag &lag, const Endpoint &to, std::uint64_t eventsSeen);
+    Duration configPatience(const PeerSession &session) const;
     EntryReport heartbeat(bool toEntry) const;
     std::vector<Endpoint> knownEntries() const;
     bool mayStart(TimePoint now, const Job &job) const;
--- a/src/core/dispatch/fleet_view.h
+++ b/src/core/dispatch/fleet_view.h
@@ -1,6 +1,7 @@
 /// What one entry knows of the agents and their backend servers.
 #pragma once
 
+#include "core/dispatch/config_lag.h"
 #include "core/dispatch/peer_session.h"
 #include "core/dispatch/server_health.h"
 
@@ -37,7 +38,7 @@
     bool owesAcknowledgement = false; ///< News has come in that no message has acknowledged yet.
     std::uint32_t runsHere = 0; ///< Of this entry.
     std::deque<Unreported> unreported;
-    TimePoint configSentAt;
+    ConfigLag configLag;
 
     /// Room as reported, less what has been asked for since.
     Resources effectiveFree() const;
--- a/tools/platform_demo.py
+++ b/tools/platform_demo.py
@@ -70,7 +70,8 @@
         until = time.monotonic() + seconds
         while time.monotonic() < until:
             rooms = [http("GET", "%s:%d" % (ip, self.metrics), "/metrics")[2] for ip in ENTRIES]
-            if all("cuminscale_agents_usable %d\n" % len(AGENTS) in text for text in rooms):
+            ready = [http("GET", "%s:%d" % (ip, self.ready), "/ready")[0] for ip in ENTRIES]
+            if ready == [200] * len(ENTRIES) and all("cuminscale_agents_usable %d\n" % len(AGENTS) in text for text in rooms):
                 return True
             time.sleep(0.05)
         return False
