--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -528,6 +528,9 @@
         task.avoid.push_back(agent.endpoint);
         break;
     case RunEnd::Stopped:
+        if (!job.answer && !event.lateServer) {
+            agent.health.recordOverdue(now, ratio(event.ran, std::max(step.expectedRun, step.longestDone)));
+        }
         task.avoid.push_back(agent.endpoint);
         break;
     case RunEnd::NeverStarted:
--- a/src/core/dispatch/server_health.cpp
+++ b/src/core/dispatch/server_health.cpp
@@ -11,6 +11,8 @@
 
 /// Weight of the newest run: ten runs or so decide.
 constexpr double RatioWeight = 0.12;
+/// A stopped run is strong evidence, as siblings elsewhere or three times the expected time have spoken against the server.
+constexpr double OverdueWeight = 0.5;
 /// A first failure alone leaves a server below the limit, two close together pass it.
 constexpr double FailureWeight = 0.3;
 constexpr double FailureLimit = 0.45;
@@ -38,6 +40,16 @@
     }
 }
 
+void ServerHealth::recordOverdue(TimePoint now, double ratio)
+{
+    const double before = remembered(now);
+    const double bounded = std::min(ratio, MaxRatio);
+    if (bounded > before) {
+        m_ratio = before + OverdueWeight * (bounded - before);
+        m_measuredAt = now;
+    }
+}
+
 void ServerHealth::recordFailure(TimePoint now)
 {
     m_failureShare += FailureWeight * (1.0 - m_failureShare);
--- a/src/core/dispatch/server_health.h
+++ b/src/core/dispatch/server_health.h
@@ -18,6 +18,8 @@
     /// A run has ended by itself. `ratio` is its run time over the expected one.
     void recordDone(TimePoint now, double ratio);
     void recordFailure(TimePoint now);
+    /// A run was stopped because it was overdue by this ratio; it would have taken longer still.
+    void recordOverdue(TimePoint now, double ratio);
     /// The server owed an answer for long, or a run stood still.
     void recordStall(TimePoint now);
     /// Notes how far the most overdue run is beyond its expected time, as a ratio; below 1 for none.
--- a/tests/dispatch_tests.cpp
+++ b/tests/dispatch_tests.cpp
@@ -148,3 +148,16 @@
     REQUIRE(result.refused > 0);
     REQUIRE(share(result.inTime, result.submitted - result.refused) > 0.8);
 }
+
+TEST_CASE("A server that works at a fifth of its speed draws few runs while it does")
+{
+    // Load pattern: runs on one server are stopped for being overdue, so none of them ends there to tell how slow it is.
+    WorldSettings settings;
+    settings.hurriedClients = 0;
+    settings.jobsPerSecond = 20;
+    settings.slowServers[3] = 5.0;
+    const WorldResult result = play(settings, seconds(20));
+    requireSound(result, settings.seed);
+    REQUIRE(share(result.startsByServer.at(3), result.starts) < 0.04);
+    REQUIRE(share(result.inTime, result.submitted) > 0.9);
+}
