--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -69,7 +69,8 @@
     std::uint64_t connectionsReplaced = 0;
 };
 
-/// Has no clock, socket or thread of its own: every call brings the time along.
+/// Has no clock, socket or thread of its own: every call brings the time along. agent_dispatch.cpp has the orders and the queue,
+/// agent_server.cpp what is agreed with the backend server, agent_coordinators.cpp the conversation with the entries.
 class AgentDispatch
 {
 public:
@@ -139,6 +140,9 @@
 
     using Coordinators = std::map<Endpoint, Coordinator>;
 
+    /// Far more entries than one agent is ever told of; bounds what strangers can make it remember.
+    static constexpr std::size_t MaxCoordinators = 128;
+
     void takeOrder(TimePoint now, Coordinator &coordinator, const Envelope &envelope, const StartOrder &order);
     void takeRun(TimePoint now, const ProcessId &from, const StartOrder &order, const OrderedRun &run, Duration age);
     void takeStop(TimePoint now, const ProcessId &from, const StopOrder &order);
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -72,7 +72,8 @@
     std::uint64_t configsFromPeers = 0;
 };
 
-/// Has no clock, socket or thread of its own: every call brings the time along.
+/// Has no clock, socket or thread of its own: every call brings the time along. entry_dispatch.cpp has what clients see of a job,
+/// entry_runs.cpp the placing and watching of its runs, entry_peers.cpp the conversation with agents and other entries.
 class EntryDispatch
 {
 public:
--- /dev/null
+++ b/tests/dispatch_codec_tests.cpp
@@ -0,0 +1,74 @@
+#include "adapters/dispatch_codec.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace cuminscale;
+using namespace cuminscale::dispatch;
+
+namespace
+{
+
+Envelope sampleReport()
+{
+    Envelope envelope;
+    envelope.from = ProcessId{Endpoint{0x0A000001, 7000}, Incarnation(77)};
+    envelope.toIncarnation = Incarnation(5);
+    envelope.sentAt = TimePoint(seconds(9));
+    envelope.echoOf = TimePoint(seconds(8));
+    envelope.echoHeld = milliseconds(3);
+    envelope.eventsSeen = 4;
+    envelope.configVersion = 12;
+    AgentReport report;
+    report.service = "svc";
+    report.load.accepting = true;
+    report.load.free = Resources{1000, 20, 1};
+    RunEvent event;
+    event.number = 9;
+    event.run = RunRef{TaskRef{*JobId::parse("0123456789ABcdef"), 0, 2, 3}, RunNumber(4)};
+    event.kind = RunEvent::Kind::Ended;
+    event.end = RunEnd::Lost;
+    event.ran = milliseconds(60);
+    report.events.push_back(event);
+    envelope.message = report;
+    return envelope;
+}
+
+} // namespace
+
+TEST_CASE("A message comes back as it was sent, the letters of a job's id included")
+{
+    const std::optional<Envelope> read = decode(encode(sampleReport()));
+    REQUIRE(read);
+    REQUIRE(read->from == sampleReport().from);
+    REQUIRE(read->echoHeld == milliseconds(3));
+    const AgentReport &report = std::get<AgentReport>(read->message);
+    REQUIRE(report.load.free == Resources{1000, 20, 1});
+    REQUIRE(report.events.at(0).run == std::get<AgentReport>(sampleReport().message).events.at(0).run);
+    REQUIRE(report.events.at(0).end == RunEnd::Lost);
+    REQUIRE(toString(report.events.at(0).run.task) == "0123456789ABcdef.0.2.3");
+}
+
+TEST_CASE("Damaged messages are refused or read, never worse")
+{
+    std::mt19937_64 random(11);
+    const std::string good = encode(sampleReport());
+    for (int i = 0; i < 5000; ++i) {
+        std::string bytes = good.substr(0, random() % (good.size() + 1));
+        for (int k = 0; k < 2 && !bytes.empty(); ++k) {
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        }
+        static_cast<void>(decode(bytes));
+    }
+    REQUIRE_FALSE(decode(""));
+}
+
+TEST_CASE("Task names are parsed strictly")
+{
+    REQUIRE(parseTaskRef("5c0e7a21d94b36f8.0.1.17"));
+    for (const char *text : {"", "5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.1", "5c0e7a21d94b36f8.0.1.x",
+                             "5c0e7a21d94b36f8.0.1.17.2", "5c0e7a21d94b36f.0.1.17", "zc0e7a21d94b36f8.0.1.17"}) {
+        INFO(text);
+        REQUIRE_FALSE(parseTaskRef(text));
+    }
+}
--- /dev/null
+++ b/tests/dispatch_settings_tests.cpp
@@ -0,0 +1,56 @@
+#include "daemon/dispatch_settings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cuminscale;
+
+namespace
+{
+
+const std::string Entry = R"({
+ // comments are allowed
+ "role": "job-entry", "node": "n", "failure_domain": "d",
+ "peer": {"listen": "10.0.0.1:7000", "entry_hosts": ["10.0.0.2:8166", "10.0.0.3:8166"]},
+ "clients": {"listen": "10.0.0.1:81", "ready_listen": "10.0.0.1:82"},
+ "metrics": {"listen": "10.0.0.1:83"}, "store": {"address": "10.9.0.1:8169"}
+})";
+
+std::string without(std::string text, const std::string &part)
+{
+    const std::size_t at = text.find(part);
+    return at == std::string::npos ? text : text.erase(at, part.size());
+}
+
+} // namespace
+
+TEST_CASE("An entry's settings are read; the hosts of entries get this process's own peer port")
+{
+    SettingsError error;
+    REQUIRE(isDispatchSettings(Entry));
+    const std::optional<DispatchSettings> settings = parseDispatchSettings(Entry, error);
+    REQUIRE(settings);
+    REQUIRE(settings->role == Role::Entry);
+    REQUIRE(settings->entries.size() == 2);
+    REQUIRE(toString(settings->entries[0]) == "10.0.0.2:7000");
+    REQUIRE(settings->stopGrace == seconds(6));
+}
+
+TEST_CASE("Wrong settings name the key")
+{
+    const std::pair<std::string, std::string> rows[] = {
+        {without(Entry, R"("node": "n", )"), "node"},
+        {without(Entry, R"(, "store": {"address": "10.9.0.1:8169"})"), "store.address"},
+        {without(Entry, R"("listen": "10.0.0.1:81", )"), "clients.listen"},
+    };
+    for (const std::pair<std::string, std::string> &row : rows) {
+        SettingsError error;
+        REQUIRE_FALSE(parseDispatchSettings(row.first, error));
+        REQUIRE(error.key == row.second);
+    }
+    std::string unknown = Entry;
+    unknown.replace(unknown.find("\"node\""), 6, "\"nodes\"");
+    SettingsError error;
+    REQUIRE_FALSE(parseDispatchSettings(unknown, error));
+    REQUIRE_FALSE(isDispatchSettings(R"({"role": "entry"})"));
+    REQUIRE_FALSE(isDispatchSettings("not json"));
+}
