Heartbeats between entries are not put off by other messages

Ruled out: an entry that takes the other for gone (they heard each other all the time). Change: heartbeats are timed by the last heartbeat; log lines of the dispatch world name their process.

--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -135,6 +135,7 @@
         PeerSession session;
         std::unordered_set<JobId, JobIdHash> activeJobs;
         bool fromSettings = false;
+        TimePoint heartbeatSentAt; ///< Other messages don't name the active jobs.
         ConfigLag configLag;
     };
 
--- a/src/core/dispatch/entry_peers.cpp
+++ b/src/core/dispatch/entry_peers.cpp
@@ -237,7 +237,8 @@
             ++m_counters.connectionsReplaced;
             m_links.replaceConnection(it->first);
         }
-        if (now - entry.session.lastSentAt() >= m_settings.timing.heartbeatEvery) {
+        if (now - entry.heartbeatSentAt >= m_settings.timing.heartbeatEvery) {
+            entry.heartbeatSentAt = now;
             sendToEntry(now, it->first, entry, heartbeat(true));
         }
         passConfig(now, entry.session, entry.configLag, it->first, 0);
--- a/tests/dispatch_tests.cpp
+++ b/tests/dispatch_tests.cpp
@@ -83,7 +83,7 @@
     }
 }
 
-TEST_CASE("Seed 800: a job that came to a second entry, with the first one out of its reach")
+TEST_CASE("Seed 800: entries that ask each other for jobs still tell which ones are active")
 {
     requireSound(play(faultyWorld(800), seconds(20)), 800);
 }
--- a/tests/dispatch_world.cpp
+++ b/tests/dispatch_world.cpp
@@ -25,22 +25,24 @@
 class TimedLog : public DecisionLog
 {
 public:
-    TimedLog(std::ostream *out, const TimePoint &now)
+    TimedLog(std::ostream *out, const TimePoint &now, std::string process = "world")
         : m_out(out)
         , m_now(now)
+        , m_process(std::move(process))
     { }
 
     void write(LogLevel, const char *event, const std::string &fields) override
     {
         if (m_out != nullptr) {
-            *m_out << std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count() << " ms " << event << " "
-                   << fields << "\n";
+            *m_out << std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count() << " ms " << m_process << " "
+                   << event << " " << fields << "\n";
         }
     }
 
 private:
     std::ostream *m_out;
     const TimePoint &m_now;
+    std::string m_process;
 };
 
 } // namespace
@@ -188,6 +190,7 @@
         , index(number)
         , isEntry(entryRole)
         , endpoint{(entryRole ? EntryNet : AgentNet) + static_cast<std::uint32_t>(number) + 1, PeerPort}
+        , log(owner.m_settings.log, owner.m_now, toString(endpoint))
     { }
 
     // Links
@@ -222,6 +225,7 @@
     std::size_t index;
     bool isEntry;
     Endpoint endpoint;
+    TimedLog log;
     std::uint64_t life = 0;
     bool up = false;
     TimePoint frozenUntil;
@@ -537,7 +541,7 @@
     for (const std::unique_ptr<Process> &entry : m_entries) {
         settings.entries.push_back(entry->endpoint);
     }
-    process.entry = std::make_unique<EntryDispatch>(settings, process, process, m_log, m_now);
+    process.entry = std::make_unique<EntryDispatch>(settings, process, process, process.log, m_now);
     tick(process, process.life);
 }
 
@@ -554,7 +558,7 @@
     for (const std::unique_ptr<Process> &entry : m_entries) {
         settings.entries.push_back(entry->endpoint);
     }
-    process.agent = std::make_unique<AgentDispatch>(settings, process, process, m_log, m_now);
+    process.agent = std::make_unique<AgentDispatch>(settings, process, process, process.log, m_now);
     tick(process, process.life);
 }
 
