--- a/src/core/dispatch/agent_dispatch.cpp
+++ b/src/core/dispatch/agent_dispatch.cpp
@@ -75,7 +75,7 @@
             const RunRecord *record = m_ledger.find(event.run.task);
             const bool given = (record != nullptr && record->ref == event.run) || m_ended.count(event.run) > 0;
             if (!given) {
-                m_ended[event.run] = Remembered{event, envelope.from.endpoint};
+                m_ended[event.run] = event;
                 m_endedOrder.emplace_back(now, event.run);
                 m_log.write(LogLevel::Warning, "order-refused",
                             describe(event.run) + " reason=too-old age_ms=" + (age ? ms(*age) : std::string("unknown")));
@@ -90,9 +90,9 @@
 void AgentDispatch::takeRun(TimePoint now, const ProcessId &from, const StartOrder &order, const OrderedRun &run, Duration age)
 {
     const RunRef ref{TaskRef{order.job, 0, order.step, run.index}, run.run};
-    const std::map<RunRef, Remembered>::const_iterator ended = m_ended.find(ref);
+    const std::map<RunRef, RunEvent>::const_iterator ended = m_ended.find(ref);
     if (ended != m_ended.end()) {
-        tell(now, from.endpoint, ended->second.event, true);
+        tell(now, from.endpoint, ended->second, true);
         return;
     }
     RunEvent event;
@@ -130,9 +130,9 @@
         RunRecord *record = m_ledger.find(ref.task);
         if (record == nullptr || record->ref != ref) {
             // Bars the run: a start order that the stop has overtaken finds it here.
-            const std::map<RunRef, Remembered>::const_iterator ended = m_ended.find(ref);
+            const std::map<RunRef, RunEvent>::const_iterator ended = m_ended.find(ref);
             if (ended != m_ended.end()) {
-                tell(now, from.endpoint, ended->second.event, true);
+                tell(now, from.endpoint, ended->second, true);
                 continue;
             }
             RunRecord barred;
@@ -250,7 +250,7 @@
     event.reason = reason;
     event.ran = how == RunEnd::NeverStarted ? Duration(0) : now - record.startedAt;
     event.lateServer = lateServer;
-    m_ended[record.ref] = Remembered{event, record.coordinator.endpoint};
+    m_ended[record.ref] = event;
     m_endedOrder.emplace_back(now, record.ref);
     while (m_endedOrder.size() > MaxRemembered || (!m_endedOrder.empty() && now - m_endedOrder.front().first > RememberEnded)) {
         m_ended.erase(m_endedOrder.front().second);
--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -204,12 +204,7 @@
     bool m_endsUnacknowledged = false;
     std::size_t m_startsUnderWay = 0;
 
-    struct Remembered
-    {
-        RunEvent event;
-        Endpoint coordinator;
-    };
-    std::map<RunRef, Remembered> m_ended; ///< Lately ended or barred, to answer a repeated order.
+    std::map<RunRef, RunEvent> m_ended; ///< Lately ended or barred, to answer a repeated order.
     std::deque<std::pair<TimePoint, RunRef>> m_endedOrder;
 };
 
--- a/src/core/dispatch/queue_config.h
+++ b/src/core/dispatch/queue_config.h
@@ -19,7 +19,7 @@
     std::string host;
     std::string prefix;
     std::string service;
-    std::uint32_t urgency = 0; ///< 0 comes first.
+    std::uint32_t urgency = 0; ///< 0 comes first. Not used yet: waiting tasks go by their latest start in time.
     std::uint32_t maxAttempts = 1; ///< Runs of a task that may end as failed before the job has failed.
     Duration timeout{0}; ///< The longest that a request may take; 0 for none.
     Duration latencyObjective{0}; ///< What a job may take beyond `workFactor` times its longest chain of work.
