--- a/src/core/dispatch/agent_dispatch.cpp
+++ b/src/core/dispatch/agent_dispatch.cpp
@@ -73,10 +73,11 @@
             event.end = RunEnd::NeverStarted;
             event.reason = RefusalReason::TooOld;
             const RunRecord *record = m_ledger.find(event.run.task);
-            const bool given = (record != nullptr && record->ref == event.run) || m_ended.count(event.run) > 0;
+            const bool given = (record != nullptr && record->ref == event.run && record->coordinator == envelope.from)
+                || m_ended.count({event.run, envelope.from}) > 0;
             if (!given) {
-                m_ended[event.run] = event;
-                m_endedOrder.emplace_back(now, event.run);
+                m_ended[{event.run, envelope.from}] = event;
+                m_endedOrder.emplace_back(now, std::pair(event.run, envelope.from));
                 m_log.write(LogLevel::Warning, "order-refused",
                             describe(event.run) + " reason=too-old age_ms=" + (age ? ms(*age) : std::string("unknown")));
                 tell(now, envelope.from.endpoint, event, true);
@@ -90,7 +91,7 @@
 void AgentDispatch::takeRun(TimePoint now, const ProcessId &from, const StartOrder &order, const OrderedRun &run, Duration age)
 {
     const RunRef ref{TaskRef{order.job, 0, order.step, run.index}, run.run};
-    const std::map<RunRef, RunEvent>::const_iterator ended = m_ended.find(ref);
+    const std::map<std::pair<RunRef, ProcessId>, RunEvent>::const_iterator ended = m_ended.find({ref, from});
     if (ended != m_ended.end()) {
         tell(now, from.endpoint, ended->second, true);
         return;
@@ -128,9 +129,9 @@
 {
     for (const RunRef &ref : order.runs) {
         RunRecord *record = m_ledger.find(ref.task);
-        if (record == nullptr || record->ref != ref) {
+        if (record == nullptr || record->ref != ref || record->coordinator != from) {
             // Bars the run: a start order that the stop has overtaken finds it here.
-            const std::map<RunRef, RunEvent>::const_iterator ended = m_ended.find(ref);
+            const std::map<std::pair<RunRef, ProcessId>, RunEvent>::const_iterator ended = m_ended.find({ref, from});
             if (ended != m_ended.end()) {
                 tell(now, from.endpoint, ended->second, true);
                 continue;
@@ -250,8 +251,8 @@
     event.reason = reason;
     event.ran = how == RunEnd::NeverStarted ? Duration(0) : now - record.startedAt;
     event.lateServer = lateServer;
-    m_ended[record.ref] = event;
-    m_endedOrder.emplace_back(now, record.ref);
+    m_ended[{record.ref, record.coordinator}] = event;
+    m_endedOrder.emplace_back(now, std::pair(record.ref, record.coordinator));
     while (m_endedOrder.size() > MaxRemembered || (!m_endedOrder.empty() && now - m_endedOrder.front().first > RememberEnded)) {
         m_ended.erase(m_endedOrder.front().second);
         m_endedOrder.pop_front();
--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -204,8 +204,9 @@
     bool m_endsUnacknowledged = false;
     std::size_t m_startsUnderWay = 0;
 
-    std::map<RunRef, RunEvent> m_ended; ///< Lately ended or barred, to answer a repeated order.
-    std::deque<std::pair<TimePoint, RunRef>> m_endedOrder;
+    /// Runs that ended lately or are barred, to answer a repeated order. Each coordinator numbers the runs of a task on its own.
+    std::map<std::pair<RunRef, ProcessId>, RunEvent> m_ended;
+    std::deque<std::pair<TimePoint, std::pair<RunRef, ProcessId>>> m_endedOrder;
 };
 
 } // namespace cuminscale::dispatch
--- a/tests/dispatch_tests.cpp
+++ b/tests/dispatch_tests.cpp
@@ -78,7 +78,7 @@
     // 56: queued tasks of a thawed agent; 94, 202: a restarted server; 145, 194: requests found after a thaw; 397: an entry cut
     // off one way; 477: a job given up whose runs were not over; the others like these.
     for (const std::uint64_t seed :
-         {56, 59, 92, 94, 119, 145, 194, 202, 213, 222, 242, 305, 343, 346, 397, 477, 557, 623, 1072, 1212, 1321}) {
+         {56, 59, 92, 94, 119, 145, 194, 202, 213, 222, 242, 305, 343, 346, 368, 397, 477, 557, 623, 799, 1072, 1212, 1321}) {
         requireSound(play(faultyWorld(seed), seconds(20)), seed);
     }
 }
