--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -21,8 +21,8 @@
     Duration askAgain = milliseconds(150); ///< An order without news is repeated; far above a round trip.
     Duration agentLost = milliseconds(700); ///< An agent silent this long stops this entry's runs, so its tasks can't be done.
     Duration forgetPeer = seconds(10);
-    /// An entry that is silent longer coordinates nothing any more. Above the time in which a silent connection is replaced, below
-    /// the 1.3 s after which its clients submit elsewhere.
+    /// An entry that is silent longer coordinates nothing any more. Above the time in which a silent connection is replaced,
+    /// below the 1.3 s after which its clients submit elsewhere.
     Duration entrySilence = milliseconds(1200);
     Duration rememberEnded = seconds(10); ///< A client may ask again seconds after its answer.
     Duration confirmWithin = milliseconds(150); ///< How long a refusal waits for agents to confirm that nothing began.
