--- a/src/core/dispatch/entry_runs.cpp
+++ b/src/core/dispatch/entry_runs.cpp
@@ -274,7 +274,7 @@
     }
     task.stopSent = true;
     task.askedAgainAt = now;
-    m_log.write(LogLevel::Debug, "run-stop", "job=" + idText(job.id) + " task=" + toString(ref.task));
+    m_log.write(LogLevel::Debug, "stop-asked", "job=" + idText(job.id) + " task=" + toString(ref.task));
     sendToAgent(now, *agent, StopOrder{{ref}});
 }
 
