--- a/tools/platform_demo.py
+++ b/tools/platform_demo.py
@@ -75,9 +75,9 @@
         path = os.path.join(self.directory, ip + ".json")
         with open(path, "w") as file:
             json.dump(settings, file)
-        log = open(os.path.join(self.directory, ip + ".log"), "ab")
         command = [os.path.join(BUILD, "src", "cuminscaled"), "--settings", path]
-        self.children[ip] = subprocess.Popen(command, stdout=log, stderr=log)
+        with open(os.path.join(self.directory, ip + ".log"), "ab") as log:
+            self.children[ip] = subprocess.Popen(command, stdout=log, stderr=log)
 
     def wait_ready(self, seconds=20.0):
         """Waits until every entry reports ready and counts every agent as usable; returns whether that was so within `seconds`."""
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -105,7 +105,7 @@
     return results
 
 
-def check_python(_):
+def check_python(build):
     """Runs the Python tests in operators/ and tools/; each test is a check of its own."""
     results = []
     for directory in ("operators", "tools"):
@@ -113,7 +113,7 @@
         if not os.path.isdir(path) or not any(name.startswith("test_") for name in os.listdir(path)):
             continue
         done = subprocess.run([sys.executable, "-m", "unittest", "discover", "-v", "-s", directory], cwd=ROOT, capture_output=True,
-                              text=True)
+                              text=True, env=dict(os.environ, CUMINSCALE_BUILD=build))
         results += unittest_results(directory, done.returncode, done.stderr)
     return results
 
