An entry that must exit answers what still awaits confirmation

What callers saw: a request taken more than 5 s after SIGTERM ended without an answer; its connection was closed when the process exited. Change: 0.3 s before the end of the grace period whatever is unanswered is given up and answered without waiting for confirmation; the process exits once the answers are sent, at the latest 0.1 s before the end.

--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -441,6 +441,40 @@
     }
 }
 
+void EntryDispatch::giveUpUnanswered(TimePoint now)
+{
+    std::vector<JobId> ids;
+    std::vector<ClientTag> others;
+    for (Jobs::value_type &item : m_jobs) {
+        ids.push_back(item.first);
+        for (const WaitingClient &client : item.second.resubmittedClients) {
+            others.push_back(client.tag);
+        }
+        item.second.resubmittedClients.clear();
+    }
+    for (const std::pair<const JobId, JoinedJob> &item : m_joinedJobs) {
+        for (const WaitingClient &client : item.second.clients) {
+            others.push_back(client.tag);
+        }
+    }
+    m_joinedJobs.clear();
+    for (const ClientTag client : others) {
+        m_clientJobs.erase(client);
+        m_clients.answer(client, JobOutcome::GivenUp, "shutdown", Duration(0));
+    }
+    for (const JobId &id : ids) {
+        const Jobs::iterator it = m_jobs.find(id);
+        if (it == m_jobs.end()) {
+            continue;
+        }
+        if (it->second.answer) {
+            answerClients(now, it->second);
+        } else {
+            finish(now, it->second, JobOutcome::GivenUp, "shutdown");
+        }
+    }
+}
+
 void EntryDispatch::detectPause(TimePoint now)
 {
     if (now - m_lastTickAt > m_settings.timing.pauseThreshold) {
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -117,6 +117,10 @@
     /// is refused on arrival, and what is still running is given up and answered then.
     void setShutdownDeadline(TimePoint deadline);
 
+    /// Answers every client that still waits, because the process is about to exit. Jobs whose runs may have started are given
+    /// up; no confirmation is awaited any more.
+    void giveUpUnanswered(TimePoint now);
+
     /// Cancels a job here or at the entry that coordinates it. Returns false if no reachable entry knows the job.
     bool cancel(TimePoint now, const JobId &id);
 
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -12,10 +12,12 @@
 /// The load balancer checks health once a second and removes an entry after two failures in a row, so new connections arrive for
 /// up to this long after the entry has stopped being ready.
 constexpr Duration BalancerReactionTime = milliseconds(2600);
-/// The process exits this long before the end of the grace period, after which the platform kills it.
-constexpr Duration GraceMargin = milliseconds(300);
-/// Time to send the last answers before the process exits.
-constexpr Duration LastAnswerTime = milliseconds(200);
+/// Jobs end this long before the end of the grace period, after which the platform kills the process.
+constexpr Duration JobEndMargin = milliseconds(500);
+/// Whatever is unanswered this long before the end of the grace period is given up, without waiting for confirmations of agents.
+constexpr Duration GiveUpMargin = milliseconds(300);
+/// The process exits this long before the end of the grace period, even if an answer has not been sent completely.
+constexpr Duration ExitMargin = milliseconds(100);
 
 } // namespace
 
@@ -99,7 +101,7 @@
 void EntryProcess::onShutdownRequested(TimePoint time)
 {
     m_clientServer->startDraining();
-    m_dispatch->setShutdownDeadline(time + m_settings.stopGrace - GraceMargin - LastAnswerTime);
+    m_dispatch->setShutdownDeadline(time + m_settings.stopGrace - JobEndMargin);
     m_store->unregister();
 }
 
@@ -107,12 +109,15 @@
 {
     const Duration since = time - m_shutdownRequestedAt;
     // A load balancer without another entry that is ready sends new connections here to the end.
-    const bool lastAnswersDue = since >= m_settings.stopGrace - GraceMargin - LastAnswerTime;
-    if (since < BalancerReactionTime || (m_dispatch->unanswered() > 0 && !lastAnswersDue)) {
+    const bool jobsEnded = since >= m_settings.stopGrace - JobEndMargin;
+    if (since < BalancerReactionTime || (m_dispatch->unanswered() > 0 && !jobsEnded)) {
         return false;
     }
     m_clientServer->closeIdleConnections();
-    return !m_clientServer->hasRequestInProgress() || since >= m_settings.stopGrace - GraceMargin;
+    if (since >= m_settings.stopGrace - GiveUpMargin) {
+        m_dispatch->giveUpUnanswered(time);
+    }
+    return !m_clientServer->hasRequestInProgress() || since >= m_settings.stopGrace - ExitMargin;
 }
 
 void EntryProcess::onSettings(const DispatchSettings &settings)
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -293,6 +293,27 @@
     REQUIRE(fixture.entry.unanswered() == 0);
 }
 
+TEST_CASE("A request that awaits confirmation when the process must exit is answered")
+{
+    // Scenario: an entry short of processor time notices the end of its shutdown late, while an agent doesn't answer.
+    EntryFixture fixture;
+    fixture.entry.setShutdownDeadline(fixture.now + milliseconds(200));
+    fixture.submit(1, seconds(5));
+    fixture.otherReport.activeJobs = {JobId::parse("00000000000000a2")->key()};
+    fixture.receiveFromEntry(fixture.otherReport);
+    fixture.entry.submit(fixture.now, ClientTag(2), fixture.queue, *JobId::parse("00000000000000a2"),
+                         EntryFixture::makeSpec(milliseconds(50)), seconds(5));
+    fixture.now += milliseconds(240);
+    fixture.entry.onTick(fixture.now);
+    fixture.submit(3, seconds(5));
+    REQUIRE(fixture.entry.unanswered() > 0);
+    fixture.entry.giveUpUnanswered(fixture.now);
+    REQUIRE(fixture.entry.unanswered() == 0);
+    REQUIRE(fixture.clients.answers.at(1) == JobOutcome::GivenUp);
+    REQUIRE(fixture.clients.answers.at(2) == JobOutcome::GivenUp);
+    REQUIRE(fixture.clients.answers.count(3) == 1);
+}
+
 TEST_CASE("While messages to agents are delayed, orders are not repeated and jobs that would be late are refused at once")
 {
     // Load pattern: the entry's link is narrower than its load. Each order carries the payload of its job, so repeating orders
--- a/tools/test_entry_shutdown.py
+++ b/tools/test_entry_shutdown.py
@@ -16,6 +16,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
+from cluster import http  # noqa: E402
 from platform_demo import Platform  # noqa: E402
 from platform_standin import BackendServer  # noqa: E402
 
@@ -23,6 +24,7 @@
 AGENTS = ["127.0.2.1", "127.0.2.2", "127.0.2.3"]
 SERVICES = {"127.0.2.1": "pairing", "127.0.2.2": "pairing", "127.0.2.3": "sorting"}  # By agent; each has one backend server.
 QUEUES = {"/match/": "pairing", "/sort/": "sorting"}  # Service of each queue, by its prefix.
+STOPPED_AGENT, STOPPED_AGENT_QUEUE = "127.0.2.3", "/sort/"
 GRACE_S = 6.0
 # A connection that ends without an answer sooner than this after the last byte of its request may be one whose request was never read.
 UNREAD_RESET_S = 0.2
@@ -35,6 +37,10 @@
 OPEN_CONNECTION_INTERVAL_S = 0.1
 DENSE_FROM_S = 5.0
 DENSE_INTERVAL_S = 0.02
+# In the test with a pause of the entry: when an agent is stopped, and the last requests before the pause, so that the entry reads them all.
+STOP_AGENT_S = 5.0
+LAST_SENT_S = 5.15
+REQUESTS_IN_PROGRESS = 10  # To each queue.
 
 
 class OneEntry(Platform):
@@ -278,6 +284,57 @@
         self.assertTrue(late, "no request sent later than 5 s after SIGTERM got an answer; process last seen to run at %.3f s, longest "
                         "delay of the clients %.3f s" % (last_alive, clients.longest_delay))
 
+    def run_with_pause(self, pause_from, pause_to):
+        """Stops the entry from `pause_from` to `pause_to` seconds after SIGTERM, and an agent from STOP_AGENT_S on.
+
+        Returns the requests that were in progress when the entry was stopped, whether it had read all of them, and the time at which it
+        was last seen to run.
+        """
+        clients, agent, in_progress, unanswered = self.clients, self.platform.children[STOPPED_AGENT], [], []
+
+        def stop_entry():
+            clients.poll(0.0)
+            metrics = http("GET", "%s:%d" % (ENTRY, self.platform.metrics_port), "/metrics", timeout=1.0)[2]
+            clients.poll(0.0)
+            self.entry.send_signal(signal.SIGSTOP)
+            time.sleep(0.01)
+            clients.poll(0.0)
+            in_progress.extend(clients.pending.values())
+            unanswered.extend(int(line.split()[1]) for line in metrics.splitlines() if line.startswith("cuminscale_jobs_unanswered "))
+
+        actions = load(clients, LAST_SENT_S)
+        actions.append((STOP_AGENT_S, lambda: agent.send_signal(signal.SIGSTOP)))
+        for i in range(REQUESTS_IN_PROGRESS):
+            # Their tasks take longer than declared: some end while the entry is stopped, others after its exit.
+            due, run_ms = STOP_AGENT_S + 0.02 + 0.01 * i, (250, 400, 800)[i % 3]
+            for prefix in QUEUES:
+                actions.append((due, lambda p=prefix, r=run_ms: clients.send_on_new_connection(prefix=p, run_ms=r, estimate_ms=50)))
+        actions.append((pause_from, stop_entry))
+        actions.append((pause_to, lambda: self.entry.send_signal(signal.SIGCONT)))
+        self.terminate()
+        last_alive = clients.run_until_exit(self.entry, self.origin, actions)
+        return in_progress, unanswered and unanswered[0] >= len(in_progress), last_alive
+
+    def test_requests_in_progress_when_a_delayed_entry_must_exit_are_answered(self):
+        for _ in range(ATTEMPTS):
+            self.start()
+            in_progress, all_read, last_alive = self.run_with_pause(5.25, 5.62)
+            started = self.platform.started_jobs()
+            running = [r for r in in_progress if r.job in started]
+            unconfirmed = [r for r in in_progress if r.prefix == STOPPED_AGENT_QUEUE and r.job not in started]
+            cut = [r for r in in_progress if not r.status and (all_read or r.job in started)]
+            self.assertEqual(len(cut), 0, "of %d requests whose task was started %d got no answer, and of %d at the stopped agent %d:%s"
+                             % (len(running), sum(1 for r in running if not r.status), len(unconfirmed),
+                                sum(1 for r in unconfirmed if not r.status), self.describe(cut)))
+            self.check_exit(last_alive)
+            if running and unconfirmed and all_read:
+                return
+        with open(os.path.join(self.platform.directory, ENTRY + ".log")) as log:
+            refusals = "".join(line for line in log if "event=job-refused" in line)
+        self.fail("the situation did not come about in %d attempts; in the last one, when the entry was stopped, %d tasks ran and %d start "
+                  "orders were unconfirmed; longest delay of the clients %.3f s; refused jobs:\n%s"
+                  % (ATTEMPTS, len(running), len(unconfirmed), self.clients.longest_delay, refusals[-2000:]))
+
 
 if __name__ == "__main__":
     unittest.main()
