Closing idle connections does not cut a request that has been read

What callers saw: on connections that were open before SIGTERM, requests were closed without an answer when the entry stopped accepting, from 2.6 s after SIGTERM on; the entry could log the job as refused, or start its tasks, on a connection that was closed already. Cause: the bytes of a request can be read by an operation whose handler still waits for its turn, behind the timer that closes idle connections. The socket is then empty and the parser has seen nothing, so the connection counted as idle. Change: an idle connection is closed by cancelling its read. A read that has completed is not affected by that, and its request is handled. The process exits when no connection is left instead of when none has a request in progress, so that such handlers have their turn. Result: the test case 'A request that has been read but not handled ...' fails before (no answer) and passes now.

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -61,16 +61,13 @@
     /// Whether a request is being received, is being handled, or its response is being sent.
     bool hasRequestInProgress();
 
-    void closeIfIdle()
-    {
-        if (!hasRequestInProgress()) {
-            close();
-        }
-    }
+    /// Closes the connection, unless a request is in progress.
+    void closeIfIdle();
 
 private:
     class Exchange;
 
+    void continueReading();
     void onRead(beast::error_code ec);
     void watchForDisconnect(std::uint64_t exchange);
     void reject(unsigned status, const std::string &reason);
@@ -122,12 +119,30 @@
     m_parser->body_limit(m_state->limits.maxBodyBytes);
     m_parser->header_limit(static_cast<std::uint32_t>(m_state->limits.maxHeaderBytes));
     m_stream.expires_after(m_state->limits.idleTimeout);
+    continueReading();
+}
+
+void Session::continueReading()
+{
     http::async_read(m_stream, m_buf, *m_parser,
                      [self = shared_from_this()](beast::error_code ec, std::size_t) { self->onRead(ec); });
 }
 
+void Session::closeIfIdle()
+{
+    // The bytes of a request may have been read already by an operation whose handler waits for its turn. Cancelling the read
+    // does not affect it, so onRead() handles that request and sees the cancellation only if there is none.
+    if (!hasRequestInProgress()) {
+        m_stream.cancel();
+    }
+}
+
 void Session::onRead(beast::error_code ec)
 {
+    if (ec == asio::error::operation_aborted && m_stream.socket().is_open() && hasRequestInProgress()) {
+        continueReading();
+        return;
+    }
     if (ec == http::error::body_limit || ec == http::error::header_limit) {
         reject(413, "The request exceeds the size limit.");
         return;
@@ -264,16 +279,14 @@
     void accept()
     {
         m_acceptor.async_accept([self = shared_from_this()](beast::error_code ec, tcp::socket socket) {
-            if (self->m_state->closed || !self->m_acceptor.is_open()) {
+            if (self->m_state->closed) {
                 return;
             }
-            const bool hasCapacity = self->m_state->sessions.size() < self->m_state->limits.maxConnections;
-            if (!ec && hasCapacity) {
-                beast::error_code optionError;
-                socket.set_option(tcp::no_delay(true), optionError);
-                const std::shared_ptr<Session> session = std::make_shared<Session>(std::move(socket), self->m_state);
-                self->m_state->sessions.insert(session);
-                session->read();
+            if (!ec) {
+                self->startSession(std::move(socket));
+            }
+            if (!self->m_acceptor.is_open()) {
+                return;
             }
             if (ec) {
                 self->acceptLater();
@@ -283,6 +296,18 @@
         });
     }
 
+    void startSession(tcp::socket &&socket)
+    {
+        if (m_state->sessions.size() >= m_state->limits.maxConnections) {
+            return;
+        }
+        beast::error_code ec;
+        socket.set_option(tcp::no_delay(true), ec);
+        const std::shared_ptr<Session> session = std::make_shared<Session>(std::move(socket), m_state);
+        m_state->sessions.insert(session);
+        session->read();
+    }
+
     /// Accepts again after a pause. An error such as too many open files lasts, and repeated attempts would take up the CPU.
     void acceptLater()
     {
@@ -320,10 +345,9 @@
         }
     }
 
-    bool hasRequestInProgress() const
+    bool hasConnections() const
     {
-        return std::any_of(m_state->sessions.begin(), m_state->sessions.end(),
-                           [](const std::shared_ptr<Session> &session) { return session->hasRequestInProgress(); });
+        return !m_state->sessions.empty();
     }
 
     void close()
@@ -375,9 +399,9 @@
     m_impl->closeIdleConnections();
 }
 
-bool HttpServer::hasRequestInProgress() const
+bool HttpServer::hasConnections() const
 {
-    return m_impl->hasRequestInProgress();
+    return m_impl->hasConnections();
 }
 
 } // namespace cuminscale
--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -71,12 +71,13 @@
     /// load balancers send requests here until they notice that the process is no longer ready.
     void startDraining();
 
-    /// Stops accepting connections and closes those that are idle. Connections on which a request is being received or answered
-    /// remain until their response has been sent.
+    /// Stops accepting connections and closes those that are idle, once the io_context has run the handlers of what they have
+    /// received. Connections on which a request is being received or answered remain until their response has been sent.
     void closeIdleConnections();
 
-    /// Whether a request is being received or awaits its response, or a response is being sent.
-    bool hasRequestInProgress() const;
+    /// Whether a connection is open. After closeIdleConnections(), that is one with a request in progress, or one that is about to
+    /// be closed.
+    bool hasConnections() const;
 
 private:
     class Impl;
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -117,7 +117,7 @@
     if (since >= m_settings.stopGrace - GiveUpMargin) {
         m_dispatch->giveUpUnanswered(time);
     }
-    return !m_clientServer->hasRequestInProgress() || since >= m_settings.stopGrace - ExitMargin;
+    return !m_clientServer->hasConnections() || since >= m_settings.stopGrace - ExitMargin;
 }
 
 void EntryProcess::onSettings(const DispatchSettings &settings)
--- a/src/daemon/http_api.cpp
+++ b/src/daemon/http_api.cpp
@@ -70,7 +70,7 @@
 
 bool HttpApi::hasRequestInProgress() const
 {
-    return !m_pendingRequests.empty() || (m_callerServer && m_callerServer->hasRequestInProgress());
+    return !m_pendingRequests.empty() || (m_callerServer && m_callerServer->hasConnections());
 }
 
 void HttpApi::onRequest(ApiListener listener, HttpRequest &&request, const std::shared_ptr<HttpExchange> &exchange)
--- a/tests/http_server_tests.cpp
+++ b/tests/http_server_tests.cpp
@@ -2,8 +2,10 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <thread>
 
 using namespace cuminscale;
 
@@ -140,14 +142,35 @@
     fixture.server.startDraining();
     fixture.server.closeIdleConnections();
     REQUIRE(fixture.receive(idle) == "closed");
-    REQUIRE(fixture.server.hasRequestInProgress());
+    REQUIRE(fixture.server.hasConnections());
     fixture.answerLast();
     REQUIRE(contains(fixture.receive(unread), "200 OK"));
     fixture.exchanges.front()->respond(HttpResponse());
     REQUIRE(contains(fixture.receive(handled), "closed"));
-    REQUIRE(fixture.server.hasRequestInProgress());
+    REQUIRE(fixture.server.hasConnections());
     fixture.send(receiving, Request.substr(20));
     fixture.answerLast();
     REQUIRE(contains(fixture.receive(receiving), "200 OK"));
-    REQUIRE_FALSE(fixture.server.hasRequestInProgress());
+    REQUIRE_FALSE(fixture.server.hasConnections());
+}
+
+TEST_CASE("A request that has been read but not handled when idle connections are closed is answered")
+{
+    // Scenario: after a delay of the process, the next request on a kept-open connection and the timer that closes idle connections
+    // are due together. The context reads the request, runs the timer's handler, and then that of the read.
+    HttpServerFixture fixture;
+    tcp::socket client = fixture.connect();
+    fixture.send(client, Request);
+    fixture.answerLast();
+    fixture.receive(client);
+    fixture.server.startDraining();
+    boost::asio::steady_timer timer(fixture.context, std::chrono::milliseconds(1));
+    timer.async_wait([&fixture](boost::system::error_code) { fixture.server.closeIdleConnections(); });
+    boost::asio::write(client, boost::asio::buffer(Request));
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    fixture.settle();
+    REQUIRE(fixture.exchanges.size() == 2);
+    fixture.answerLast();
+    REQUIRE(contains(fixture.receive(client), "200 OK"));
+    REQUIRE_FALSE(fixture.server.hasConnections());
 }
