Connections that wait to be accepted are served when an entry stops accepting

What callers saw: requests sent on new connections in the moment in which a leaving entry stopped accepting ended with a reset. Cause: the listening socket was closed with established connections in its queue. Change: they are accepted first, and closed when their request has been answered or none has come. Result: the test case 'A request on a connection that waits to be accepted ...' fails before (0 of 3 requests handled) and passes now.

--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -337,6 +337,7 @@
 
     void closeIdleConnections()
     {
+        acceptWaiting();
         beast::error_code ec;
         m_acceptor.close(ec);
         const std::set<std::shared_ptr<Session>> sessions = m_state->sessions;
@@ -363,6 +364,20 @@
     }
 
 private:
+    /// Accepts the established connections that wait in the queue: a request may have been sent on them.
+    void acceptWaiting()
+    {
+        beast::error_code ec;
+        m_acceptor.non_blocking(true, ec);
+        while (!ec && m_acceptor.is_open()) {
+            tcp::socket socket(m_acceptor.get_executor());
+            m_acceptor.accept(socket, ec);
+            if (!ec) {
+                startSession(std::move(socket));
+            }
+        }
+    }
+
     tcp::acceptor m_acceptor;
     asio::steady_timer m_retryTimer;
     std::shared_ptr<ServerState> m_state;
--- a/tests/http_server_tests.cpp
+++ b/tests/http_server_tests.cpp
@@ -174,3 +174,25 @@
     REQUIRE(contains(fixture.receive(client), "200 OK"));
     REQUIRE_FALSE(fixture.server.hasConnections());
 }
+
+TEST_CASE("A request on a connection that waits to be accepted when idle connections are closed is answered")
+{
+    HttpServerFixture fixture;
+    std::vector<tcp::socket> clients;
+    for (int i = 0; i < 3; ++i) {
+        clients.emplace_back(fixture.context);
+        clients.back().connect(tcp::endpoint(boost::asio::ip::address_v4(Loopback), fixture.server.endpoint().port));
+        clients.back().non_blocking(true);
+        boost::asio::write(clients.back(), boost::asio::buffer(Request));
+    }
+    fixture.server.startDraining();
+    fixture.server.closeIdleConnections();
+    fixture.settle();
+    REQUIRE(fixture.exchanges.size() == clients.size());
+    for (const std::shared_ptr<HttpExchange> &exchange : fixture.exchanges) {
+        exchange->respond(HttpResponse());
+    }
+    for (tcp::socket &client : clients) {
+        REQUIRE(contains(fixture.receive(client), "200 OK"));
+    }
+}
