Simulation: deadly tasks, and servers that crash with closed connections

Cause: the users describe tasks that crash each backend server that starts them. The simulation's servers only became silent. Change: JobKind::deadlyShare, SimulationSettings::deadlyFrom and deadlyUntil. A server that starts a deadly task crashes at once or within 10 ms; open calls to it end after about 1 ms as Unknown, new ones as refused (RefusedStartAnswer and RefusedPollFailure, at present NotSent), and it restarts after 3.0 to 3.4 s. A start of a deadly task after three crashes under it is a violation. serverCrashes crashes servers without a deadly task, entriesKilledAt kills entries; capacity by server; counts by kind and second of submission. Ruled out: a change of the random sequence for the existing cases.

--- a/tests/dispatch_simulation.cpp
+++ b/tests/dispatch_simulation.cpp
@@ -17,6 +17,21 @@
 constexpr Duration ResubmitDelay = milliseconds(1300);
 constexpr Duration StopDuration = milliseconds(40);
 constexpr std::int64_t MaxLeaseMs = 1000;
+/// Time from the crash of a server until its caller notices that the connection has been closed.
+constexpr Duration MinBrokenConnectionDelay = Duration(500);
+constexpr Duration MaxBrokenConnectionDelay = Duration(1500);
+/// Time until an attempt to connect to a crashed server fails.
+constexpr Duration MinRefusedConnectionDelay = Duration(300);
+constexpr Duration MaxRefusedConnectionDelay = Duration(1000);
+constexpr Duration MinCrashDowntime = milliseconds(3000);
+constexpr Duration MaxCrashDowntime = milliseconds(3400);
+constexpr double ImmediateCrashRate = 0.5; ///< Fraction of deadly starts under which the server crashes at once.
+constexpr Duration MaxCrashDelay = milliseconds(10);
+constexpr double AllTasksDeadlyRate = 0.5; ///< Fraction of deadly jobs whose tasks are all deadly.
+constexpr std::uint32_t MaxCrashesPerTask = 3; ///< A task under which this many servers have crashed must not be started again.
+/// What a call returns if nothing listens at the address of the server.
+constexpr StartAnswer RefusedStartAnswer = StartAnswer::NotSent;
+constexpr PollFailure RefusedPollFailure = PollFailure::NotSent;
 constexpr std::uint16_t PeerPort = 7000;
 constexpr std::uint32_t EntrySubnet = 0x0A010000;
 constexpr std::uint32_t AgentSubnet = 0x0A020000;
@@ -112,6 +127,14 @@
         return shares.size() == 1 ? 0 : std::discrete_distribution<std::size_t>(shares.begin(), shares.end())(m_random);
     }
 
+    std::int64_t serverCpuMilli(std::size_t index) const
+    {
+        return m_settings.serverCpuMilliByIndex.empty() ? m_settings.serverCpuMilli : m_settings.serverCpuMilliByIndex.at(index);
+    }
+
+    /// Increments a counter of the job's kind, both in total and for the second of its first submission.
+    void count(const ClientJob &job, std::uint64_t JobKindResult::*counter);
+
     void recordViolation(const std::string &what)
     {
         const std::int64_t ms = std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count();
@@ -127,6 +150,18 @@
     void tick(Process &process, std::uint64_t generation);
     /// Sends the periodic announcement of a backend server to its agent.
     void announce(std::size_t index);
+    /// Kills an entry or agent process, which restarts after a delay.
+    void killProcess(bool isEntry, std::size_t index);
+    /// Ends a server process: its runs are lost, open calls to it end soon, new ones are refused until it restarts.
+    void crashServer(Server &server);
+    /// Starts the next incarnation of a server that is down.
+    void restartServer(Server &server);
+    /// Records the start of a deadly task and crashes the server at once or within a few milliseconds.
+    void startDeadlyTask(Server &server, const TaskRef &task);
+    /// Draws whether a new job is deadly, and which of its tasks are.
+    void drawDeadlyTasks(ClientJob &job, std::uint32_t tasks);
+    /// Schedules serverCrashes and entriesKilledAt.
+    void scheduleFixedFaults();
     /// Injects a random process fault and schedules the next one.
     void injectFault();
     /// Creates a job, submits it and schedules the next one (Poisson arrivals).
@@ -159,6 +194,7 @@
     std::uint64_t m_nextTag = 1;
     std::set<JobId> m_notRunJobs; ///< Jobs whose submissions were all answered with NotRun: no task of theirs may start.
     std::map<JobId, std::shared_ptr<ClientJob>> m_jobs;
+    std::map<TaskRef, std::uint32_t> m_crashesByTask; ///< Server processes that crashed after they had started the deadly task.
     TimePoint m_end;
     bool m_loadEnded = false;
 };
@@ -177,6 +213,13 @@
     std::uint32_t submissions = 0;
     std::uint32_t openSubmissions = 0; ///< Submissions without an answer.
     bool allAnswersNotRun = true; ///< Also false if a submission remained unanswered.
+    bool deadly = false; ///< Servers crash when they start its deadly tasks.
+    std::optional<std::uint32_t> onlyDeadlyTask; ///< Index of the only deadly task of a deadly job; empty if all are.
+
+    bool isDeadly(const TaskRef &task) const
+    {
+        return deadly && (!onlyDeadlyTask || *onlyDeadlyTask == task.index);
+    }
 };
 
 /// A backend server that follows the platform's rules for leases, fencing tokens and run numbers.
@@ -205,6 +248,21 @@
     std::vector<FinishedRun> ended; ///< Finished runs, until the agent acknowledges them.
     std::uint64_t leaseCheck = 0;
     std::vector<std::function<void()>> pendingPolls; ///< Callbacks that answer the polls waiting for a run to end.
+    std::set<TaskRef> deadlyTasks; ///< Deadly tasks that this incarnation has started.
+    bool refusesConnections = false; ///< The process has crashed and nothing listens at its address.
+    std::uint64_t lastCall = 0; ///< Number of the latest call to this server.
+    std::uint64_t lastBrokenCall = 0; ///< Calls up to this number were made before the latest crash; none of them times out.
+    std::map<std::uint64_t, Action> openCalls; ///< By call number: tells the caller that the connection broke.
+
+    /// Discards all runs and unanswered calls, as the end of the process does.
+    void discardState()
+    {
+        running.clear();
+        ended.clear();
+        pendingPolls.clear();
+        openCalls.clear();
+        deadlyTasks.clear();
+    }
 
     /// The server's own clock, which starts at 5 s with each incarnation.
     std::int64_t clockMs(TimePoint now) const
@@ -249,10 +307,19 @@
     void stop(const RunStop &order) override;
     void poll(std::uint64_t number, const PollRequest &order) override;
 
+    /// What the caller of a backend server does when it gets no response.
+    struct CallFailure
+    {
+        Action unanswered; ///< The call timed out or its connection broke.
+        Action refused; ///< The connection was refused.
+    };
+
     /// Executes a call at the backend server of this agent, with random faults, and delivers the response that `execute` returns.
-    /// If that response is empty, `execute` delivers one later itself. `onTimeout` is called if the response is lost, or if the
-    /// server is down when the call is made.
-    void callServer(const std::function<Action(Server &)> &execute, Action onTimeout, Duration timeout);
+    /// If that response is empty, `execute` delivers one later itself and removes the call from Server::openCalls, by its number.
+    /// The call times out if the response is lost, or if the server is silent when the call is made.
+    void callServer(const std::function<Action(Server &, std::uint64_t call)> &execute, CallFailure failure, Duration timeout);
+    /// An action that runs in this process unless it has ended by then.
+    Action inThisIncarnation(Action action);
 
     Impl &simulation;
     std::size_t index; ///< An agent manages the server with the same index.
@@ -321,11 +388,23 @@
     });
 }
 
-void DispatchSimulation::Impl::Process::callServer(const std::function<Action(Server &)> &execute, Action onTimeout,
-                                                   Duration timeout)
+DispatchSimulation::Impl::Action DispatchSimulation::Impl::Process::inThisIncarnation(Action action)
+{
+    return [this, callerGeneration = generation, action = std::move(action)]() {
+        simulation.runInProcess(*this, callerGeneration, action);
+    };
+}
+
+void DispatchSimulation::Impl::Process::callServer(const std::function<Action(Server &, std::uint64_t call)> &execute,
+                                                   CallFailure failure, Duration timeout)
 {
     const std::uint64_t callerGeneration = generation;
     Server &server = *simulation.m_servers[index];
+    if (server.refusesConnections) {
+        simulation.scheduleAfter(simulation.randomDuration(MinRefusedConnectionDelay, MaxRefusedConnectionDelay),
+                                 inThisIncarnation(std::move(failure.refused)));
+        return;
+    }
     const std::int64_t startTimeMsAtCall = server.startTimeMs;
     const std::map<std::size_t, double>::const_iterator unresponsive = simulation.m_settings.unresponsiveFrom.find(server.index);
     if (unresponsive != simulation.m_settings.unresponsiveFrom.end()
@@ -333,18 +412,22 @@
         server.up = false;
         server.running.clear();
     }
+    const std::uint64_t call = ++server.lastCall;
+    const Action onUnanswered = inThisIncarnation(std::move(failure.unanswered));
+    server.openCalls[call] = onUnanswered;
     const bool delayed = simulation.randomFraction() < simulation.m_settings.faults.delayedCallRate;
     const bool responseLost = delayed || simulation.randomFraction() < simulation.m_settings.faults.lostResponseRate;
     const Duration delay =
         delayed ? simulation.randomDuration(seconds(2), seconds(12)) : simulation.randomDuration(Duration(200), Duration(700));
-    simulation.scheduleAfter(delay, [this, &server, delayed, startTimeMsAtCall, callerGeneration, execute, responseLost]() {
+    simulation.scheduleAfter(delay, [this, &server, delayed, startTimeMsAtCall, callerGeneration, execute, responseLost, call]() {
         // A delayed request is queued in the server and is lost when the server restarts. A request that is not delayed may reach
         // the next incarnation if the server restarts while the request is in transit.
         if (!server.up || (delayed && server.startTimeMs != startTimeMsAtCall)) {
             return;
         }
-        Action response = execute(server);
+        Action response = execute(server, call);
         if (!responseLost && response) {
+            server.openCalls.erase(call);
             simulation.scheduleAfter(simulation.randomDuration(Duration(200), Duration(700)),
                                      [this, callerGeneration, response = std::move(response)]() {
                                          simulation.runInProcess(*this, callerGeneration, response);
@@ -352,12 +435,67 @@
         }
     });
     if (responseLost || !server.up) {
-        simulation.scheduleAfter(timeout, [this, callerGeneration, onTimeout = std::move(onTimeout)]() {
-            simulation.runInProcess(*this, callerGeneration, onTimeout);
+        simulation.scheduleAfter(timeout, [&server, call, onUnanswered]() {
+            server.openCalls.erase(call);
+            if (call > server.lastBrokenCall) {
+                onUnanswered();
+            }
         });
     }
 }
 
+void DispatchSimulation::Impl::crashServer(Server &server)
+{
+    if (!server.up) {
+        return;
+    }
+    ++m_result.crashes;
+    m_log.write(LogLevel::Info, "CRASH",
+                "server=" + std::to_string(server.index) + " runs=" + std::to_string(server.running.size()));
+    for (const TaskRef &task : server.deadlyTasks) {
+        m_result.mostCrashes = std::max<std::uint64_t>(m_result.mostCrashes, ++m_crashesByTask[task]);
+    }
+    for (const std::pair<const std::uint64_t, Action> &call : server.openCalls) {
+        scheduleAfter(randomDuration(MinBrokenConnectionDelay, MaxBrokenConnectionDelay), call.second);
+    }
+    server.up = false;
+    server.refusesConnections = true;
+    server.lastBrokenCall = server.lastCall;
+    server.discardState();
+    scheduleAfter(randomDuration(MinCrashDowntime, MaxCrashDowntime), [this, &server]() { restartServer(server); });
+}
+
+void DispatchSimulation::Impl::restartServer(Server &server)
+{
+    server.up = true;
+    server.refusesConnections = false;
+    server.startedAt = m_now;
+    server.startTimeMs = std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count();
+    server.sequence = 0;
+    server.highestToken = 0;
+    server.lastEndNumber = 0;
+    server.highestRunNumber.clear();
+    server.leaseUntil = TimePoint();
+}
+
+void DispatchSimulation::Impl::startDeadlyTask(Server &server, const TaskRef &task)
+{
+    ++m_result.deadlyStarts;
+    server.deadlyTasks.insert(task);
+    if (m_crashesByTask[task] >= MaxCrashesPerTask) {
+        recordViolation("task started after it had crashed three servers: " + toString(task));
+    }
+    if (randomFraction() < ImmediateCrashRate) {
+        crashServer(server);
+        return;
+    }
+    scheduleAfter(randomDuration(Duration(0), MaxCrashDelay), [this, &server, startTimeMs = server.startTimeMs]() {
+        if (server.startTimeMs == startTimeMs) {
+            crashServer(server);
+        }
+    });
+}
+
 void DispatchSimulation::Impl::checkStart(const RunRef &run, const Server &server)
 {
     for (const std::unique_ptr<Server> &other : m_servers) {
@@ -376,7 +514,7 @@
 {
     const RunRef ref = order.run;
     callServer(
-        [this, order](Server &server) -> Action {
+        [this, order](Server &server, std::uint64_t) -> Action {
             Impl &sim = simulation;
             const std::int64_t clock = server.clockMs(sim.m_now);
             const ServerTime time(clock);
@@ -407,7 +545,7 @@
             for (const std::pair<const TaskRef, Server::Run> &run : server.running) {
                 used += run.second.cpu;
             }
-            if (used > sim.m_settings.serverCpuMilli) {
+            if (used > sim.serverCpuMilli(server.index)) {
                 sim.recordViolation("running tasks exceed the capacity of server " + std::to_string(server.index));
             }
             sim.checkStart(order.run, server);
@@ -428,6 +566,10 @@
             server.leaseUntil = std::max(server.leaseUntil, until);
             ++sim.m_result.starts;
             ++sim.m_result.startsByServer[server.index];
+            if (job.isDeadly(order.run.task)) {
+                sim.startDeadlyTask(server, order.run.task);
+                return server.up ? respond(StartAnswer::Accepted) : Action();
+            }
             sim.scheduleAfter(
                 willFail ? runDuration / 4 : runDuration,
                 [&sim, &server, run = order.run, serial, willFail, taskCpuMilli, runDuration]() {
@@ -449,13 +591,20 @@
                 });
             return respond(StartAnswer::Accepted);
         },
-        [this, ref]() { agent->onStartAnswered(simulation.m_now, ref, StartAnswer::Unknown, std::nullopt); }, milliseconds(200));
+        CallFailure{
+            [this, ref]() { agent->onStartAnswered(simulation.m_now, ref, StartAnswer::Unknown, std::nullopt); },
+            [this, ref]() { agent->onStartAnswered(simulation.m_now, ref, RefusedStartAnswer, std::nullopt); },
+        },
+        milliseconds(200));
 }
 
 void DispatchSimulation::Impl::Process::stop(const RunStop &order)
 {
+    const Action onUnacknowledged = [this, order]() {
+        agent->onStopAnswered(simulation.m_now, order.run, false, std::nullopt);
+    };
     callServer(
-        [this, order](Server &server) -> Action {
+        [this, order](Server &server, std::uint64_t) -> Action {
             if (order.token.value() < server.highestToken) {
                 return [this, order]() {
                     agent->onStopAnswered(simulation.m_now, order.run, false, std::nullopt);
@@ -483,14 +632,14 @@
                 agent->onStopAnswered(simulation.m_now, order.run, true, time);
             };
         },
-        [this, order]() { agent->onStopAnswered(simulation.m_now, order.run, false, std::nullopt); }, milliseconds(200));
+        CallFailure{onUnacknowledged, onUnacknowledged}, milliseconds(200));
 }
 
 void DispatchSimulation::Impl::Process::poll(std::uint64_t number, const PollRequest &order)
 {
     const std::uint64_t callerGeneration = generation;
     callServer(
-        [this, number, order, callerGeneration](Server &server) -> Action {
+        [this, number, order, callerGeneration](Server &server, std::uint64_t call) -> Action {
             if (order.token.value() < server.highestToken) {
                 return [this, number]() {
                     agent->onPollAnswered(simulation.m_now, number, std::nullopt, PollFailure::StaleToken);
@@ -521,12 +670,13 @@
                 };
             }
             const std::shared_ptr<bool> answered = std::make_shared<bool>(false);
-            const auto reply = [this, number, answered, inventory, callerGeneration, startTimeMsAtCall = server.startTimeMs,
+            const auto reply = [this, number, answered, inventory, callerGeneration, startTimeMsAtCall = server.startTimeMs, call,
                                 &server]() {
                 if (*answered || !server.up || server.startTimeMs != startTimeMsAtCall) {
                     return;
                 }
                 *answered = true;
+                server.openCalls.erase(call);
                 simulation.scheduleAfter(Duration(400), [this, number, callerGeneration, result = inventory()]() {
                     simulation.runInProcess(*this, callerGeneration, [this, number, result]() {
                         agent->onPollAnswered(simulation.m_now, number, result, PollFailure::None);
@@ -537,7 +687,10 @@
             simulation.scheduleAfter(order.maxWait, reply);
             return nullptr;
         },
-        [this, number]() { agent->onPollAnswered(simulation.m_now, number, std::nullopt, PollFailure::Unknown); },
+        CallFailure{
+            [this, number]() { agent->onPollAnswered(simulation.m_now, number, std::nullopt, PollFailure::Unknown); },
+            [this, number]() { agent->onPollAnswered(simulation.m_now, number, std::nullopt, RefusedPollFailure); },
+        },
         order.maxWait + milliseconds(200));
 }
 
@@ -571,26 +724,37 @@
     }
     job->finished = true;
     const bool inTime = simulation.m_now - job->firstSubmittedAt <= job->runTime * 16 / 10 + milliseconds(60);
-    JobKindResult &kind = result.kinds[simulation.m_settings.kinds[job->kind].queue];
     switch (answer) {
     case JobOutcome::Succeeded:
         ++result.succeeded;
         result.longestJob = std::max(result.longestJob, simulation.m_now - job->firstSubmittedAt);
         result.inTime += inTime ? 1 : 0;
-        kind.inTime += inTime ? 1 : 0;
+        if (inTime) {
+            simulation.count(*job, &JobKindResult::inTime);
+        }
         break;
     case JobOutcome::NotRun:
         ++result.refused;
-        ++kind.refused;
+        simulation.count(*job, &JobKindResult::refused);
         break;
     case JobOutcome::GivenUp:
         ++result.givenUp;
         break;
     default:
         ++result.failed;
+        result.innocentFailed += job->deadly ? 0 : 1;
+        simulation.count(*job, &JobKindResult::failed);
     }
 }
 
+void DispatchSimulation::Impl::count(const ClientJob &job, std::uint64_t JobKindResult::*counter)
+{
+    const std::string &queue = m_settings.kinds[job.kind].queue;
+    const Duration sinceStart = job.firstSubmittedAt - TimePoint(seconds(1000));
+    ++(m_result.kinds[queue].*counter);
+    ++(m_result.kindsBySecond[queue][std::chrono::duration_cast<seconds>(sinceStart).count()].*counter);
+}
+
 void DispatchSimulation::Impl::startEntry(std::size_t index)
 {
     Process &process = *m_entries[index];
@@ -648,7 +812,7 @@
         announcement.incarnation = ServerIncarnation{"server-" + std::to_string(index), server.startTimeMs};
         announcement.service = "svc";
         announcement.sequence = ++server.sequence;
-        announcement.capacity = Resources{m_settings.serverCpuMilli, 100000, 0};
+        announcement.capacity = Resources{serverCpuMilli(index), 100000, 0};
         announcement.clock = ServerTime(server.clockMs(m_now));
         runInProcess(process, process.generation,
                      [this, &process, announcement]() { process.agent->onAnnouncement(m_now, announcement); });
@@ -657,6 +821,43 @@
     scheduleAfter(AnnouncementInterval, [this, index]() { announce(index); });
 }
 
+void DispatchSimulation::Impl::killProcess(bool isEntry, std::size_t index)
+{
+    Process &process = isEntry ? *m_entries[index] : *m_agents[index];
+    process.up = false;
+    process.entry.reset();
+    process.agent.reset();
+    for (const std::pair<const ClientTag, std::shared_ptr<ClientJob>> &client : process.clients) {
+        --client.second->openSubmissions;
+        client.second->allAnswersNotRun = false;
+        if (!client.second->finished) {
+            scheduleAfter(ResubmitDelay, [this, job = client.second]() { submitJob(job); });
+        }
+    }
+    process.clients.clear();
+    scheduleAfter(randomDuration(milliseconds(200), seconds(2)), [this, isEntry, index, &process]() {
+        if (!process.up) {
+            isEntry ? startEntry(index) : startAgent(index);
+        }
+    });
+}
+
+void DispatchSimulation::Impl::scheduleFixedFaults()
+{
+    const TimePoint start = m_now;
+    for (const ServerCrash &crash : m_settings.serverCrashes) {
+        scheduleAt(start + Duration(static_cast<std::int64_t>(crash.second * 1e6)),
+                   [this, index = crash.server]() { crashServer(*m_servers[index]); });
+    }
+    for (const std::pair<const std::size_t, double> &kill : m_settings.entriesKilledAt) {
+        scheduleAt(start + Duration(static_cast<std::int64_t>(kill.second * 1e6)), [this, index = kill.first]() {
+            if (m_entries[index]->up) {
+                killProcess(true, index);
+            }
+        });
+    }
+}
+
 void DispatchSimulation::Impl::injectFault()
 {
     static constexpr const char *FaultNames[] = {"kill", "freeze", "cut", "silence", "server-crash", "none"};
@@ -667,26 +868,9 @@
     Process &process = *group[index];
     m_log.write(LogLevel::Info, "FAULT", std::string(FaultNames[kind]) + " " + toString(process.endpoint));
     switch (kind) {
-    case 0: { // The process is killed and restarts after a delay.
-        process.up = false;
-        process.entry.reset();
-        process.agent.reset();
-        for (const std::pair<const ClientTag, std::shared_ptr<ClientJob>> &client : process.clients) {
-            --client.second->openSubmissions;
-            client.second->allAnswersNotRun = false;
-            if (!client.second->finished) {
-                scheduleAfter(ResubmitDelay, [this, job = client.second]() { submitJob(job); });
-            }
-        }
-        process.clients.clear();
-        scheduleAfter(randomDuration(milliseconds(200), seconds(2)), [this, targetsEntry, index]() {
-            Process &restarted = targetsEntry ? *m_entries[index] : *m_agents[index];
-            if (!restarted.up) {
-                targetsEntry ? startEntry(index) : startAgent(index);
-            }
-        });
+    case 0:
+        killProcess(targetsEntry, index);
         break;
-    }
     case 1: // The process is paused and resumes after a delay.
         process.pausedUntil = std::max(process.pausedUntil, m_now + randomDuration(milliseconds(200), seconds(4)));
         break;
@@ -713,22 +897,15 @@
         break;
     case 4: { // A backend server crashes and restarts with the same id.
         Server &server = *m_servers[static_cast<std::size_t>(randomFraction() * static_cast<double>(m_servers.size()))];
+        if (server.refusesConnections) {
+            break;
+        }
         server.up = false;
-        server.running.clear();
-        server.ended.clear();
-        server.pendingPolls.clear();
+        server.discardState();
         scheduleAfter(randomDuration(milliseconds(100), seconds(2)), [this, &server]() {
-            if (server.up) {
-                return;
+            if (!server.up && !server.refusesConnections) {
+                restartServer(server);
             }
-            server.up = true;
-            server.startedAt = m_now;
-            server.startTimeMs = std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count();
-            server.sequence = 0;
-            server.highestToken = 0;
-            server.lastEndNumber = 0;
-            server.highestRunNumber.clear();
-            server.leaseUntil = TimePoint();
         });
         break;
     }
@@ -740,6 +917,22 @@
     }
 }
 
+void DispatchSimulation::Impl::drawDeadlyTasks(ClientJob &job, std::uint32_t tasks)
+{
+    const Duration sinceStart = m_now - TimePoint(seconds(1000));
+    const double deadlyShare = m_settings.kinds[job.kind].deadlyShare;
+    if (deadlyShare == 0 || sinceStart < m_settings.deadlyFrom || sinceStart >= m_settings.deadlyUntil) {
+        return;
+    }
+    job.deadly = randomFraction() < deadlyShare;
+    if (job.deadly && randomFraction() >= AllTasksDeadlyRate) {
+        job.onlyDeadlyTask = static_cast<std::uint32_t>(randomFraction() * tasks);
+    }
+    if (job.deadly) {
+        count(job, &JobKindResult::deadly);
+    }
+}
+
 void DispatchSimulation::Impl::submitNextJob()
 {
     if (m_loadEnded) {
@@ -767,13 +960,14 @@
     step.estimate =
         Duration(static_cast<std::int64_t>(static_cast<double>(job->runTime.count()) * logNormalFactor(kind.declaredTimeSigma)));
     spec.steps.push_back(step);
+    job->firstSubmittedAt = m_now;
+    drawDeadlyTasks(*job, step.count);
     m_jobs[job->id] = job;
     job->spec = std::make_shared<const JobSpec>(std::move(spec));
-    job->firstSubmittedAt = m_now;
     job->deadline = m_now + m_settings.clientTimeout;
     job->connectionBreaks = randomFraction() < m_settings.brokenConnectionRate;
     ++m_result.submitted;
-    ++m_result.kinds[kind.queue].submitted;
+    count(*job, &JobKindResult::submitted);
     submitJob(job);
     const double lastKindShare = m_settings.kinds.back().share;
     const double rate = m_settings.jobsPerSecond * m_settings.loadFactor(second)
@@ -860,6 +1054,7 @@
         startAgent(i);
         scheduleAfter(randomDuration(Duration(0), milliseconds(200)), [this, i]() { announce(i); });
     }
+    scheduleFixedFaults();
     const TimePoint loadStart = m_now + seconds(1);
     scheduleAt(loadStart, [this]() { submitNextJob(); });
     if (m_settings.faults.processFaults) {
--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -38,6 +38,16 @@
     double declaredTimeSigma = 0; ///< Standard deviation of the logarithm of declared over true run time.
     std::int64_t taskCpuMilli = 4000; ///< CPU demand of a task, in thousandths of a core.
     std::uint32_t urgency = 0; ///< 0 is the most urgent.
+    /// Fraction of the jobs submitted between deadlyFrom and deadlyUntil that are deadly. A server that starts a deadly task
+    /// crashes at once or within 10 ms. Either all tasks of such a job are deadly or only one of them is.
+    double deadlyShare = 0;
+};
+
+/// A time at which a backend server crashes on its own.
+struct ServerCrash
+{
+    double second = 0; ///< Since the start.
+    std::size_t server = 0;
 };
 
 /// Size, load and faults of a simulation.
@@ -49,6 +59,7 @@
     double jobsPerSecond = 25;
     std::vector<JobKind> kinds = {JobKind()};
     std::int64_t serverCpuMilli = 16000;
+    std::vector<std::int64_t> serverCpuMilliByIndex; ///< Replaces serverCpuMilli unless empty.
     Duration clientTimeout = seconds(6);
     std::size_t payloadBytes = 0; ///< Minimum size of a job's payload.
     /// Outgoing bandwidth of each entry, in bytes per second; 0 for no limit. Messages queue for the link.
@@ -60,6 +71,12 @@
     /// By server index: seconds after the start from which the server does not respond; its runs are lost.
     std::map<std::size_t, double> unresponsiveFrom;
     std::set<std::size_t> failingServers; ///< Servers on which every run fails.
+    Duration deadlyFrom{0}; ///< Since the start; see JobKind::deadlyShare.
+    Duration deadlyUntil = seconds(1000);
+    /// These servers crash like those that start a deadly task: their connections close, they refuse new ones, and they restart
+    /// after 3.0 to 3.4 s.
+    std::vector<ServerCrash> serverCrashes;
+    std::map<std::size_t, double> entriesKilledAt; ///< By entry index: seconds after the start at which the process is killed.
     std::ostream *log = nullptr; ///< Receives the log of all processes; null discards it.
     std::function<double(double second)> loadFactor = [](double) {
         return 1.0;
@@ -75,6 +92,8 @@
     std::uint64_t submitted = 0;
     std::uint64_t inTime = 0; ///< As in SimulationResult.
     std::uint64_t refused = 0; ///< Jobs whose final answer was NotRun.
+    std::uint64_t failed = 0; ///< Jobs whose final answer was Failed.
+    std::uint64_t deadly = 0; ///< Submitted deadly jobs.
 };
 
 /// Counts and detected violations of one simulation.
@@ -99,6 +118,12 @@
     double usedMilliCoreSeconds = 0; ///< CPU demand times full run time, over all runs that completed or failed.
     std::map<std::size_t, std::uint64_t> startsByServer;
     std::map<std::string, JobKindResult> kinds; ///< By queue.
+    /// By queue and second of the first submission, counted from the start.
+    std::map<std::string, std::map<std::int64_t, JobKindResult>> kindsBySecond;
+    std::uint64_t crashes = 0; ///< Crashes of servers under deadly tasks and by serverCrashes.
+    std::uint64_t deadlyStarts = 0; ///< Starts of deadly tasks that servers executed.
+    std::uint64_t mostCrashes = 0; ///< Largest number of crashes under one deadly task.
+    std::uint64_t innocentFailed = 0; ///< Jobs without a deadly task whose final answer was Failed.
 };
 
 /// Runs the load for a given time, then continues without new jobs until all of them should have ended.
