Tests: a task that has crashed three servers is not started again

Cause: the rule of the users. The core starts such a task again until the client's deadline, and anew when the job is submitted again.

--- a/tests/deadly_task_tests.cpp
+++ b/tests/deadly_task_tests.cpp
@@ -201,6 +201,20 @@
     }
 }
 
+TEST_CASE("A task that has crashed three servers is not started again")
+{
+    for (const std::uint64_t seed : seedsToRun()) {
+        checkNoViolations(runSimulation(deadlyCards(seed)), seed);
+    }
+}
+
+TEST_CASE("A task that has crashed three servers is not started again for clients that submit it several times")
+{
+    for (const std::uint64_t seed : seedsToRun()) {
+        checkNoViolations(runSimulation(deadlyCardsOfPatientClients(seed)), seed);
+    }
+}
+
 TEST_CASE("Servers that crash on their own fail no job and delay the jobs of about a second only")
 {
     for (const std::uint64_t seed : seedsToRun()) {
