Tests: the count of crashes survives a killed coordinator

Cause: a job is submitted to another entry when its coordinator is killed. Change: a case with deadlines of 8 s, process faults, and entry 0 killed at 10 s.

--- a/tests/deadly_task_tests.cpp
+++ b/tests/deadly_task_tests.cpp
@@ -215,6 +215,13 @@
     }
 }
 
+TEST_CASE("A task that has crashed three servers is not started again when its coordinator is killed and processes fail")
+{
+    for (const std::uint64_t seed : seedsToRun()) {
+        checkNoViolations(runSimulation(deadlyCardsWithFaults(seed)), seed);
+    }
+}
+
 TEST_CASE("Servers that crash on their own fail no job and delay the jobs of about a second only")
 {
     for (const std::uint64_t seed : seedsToRun()) {
