Tests: one kind of deadly task leaves other kinds their servers

Cause: the users require that other kinds keep at least half of their jobs in time. Change: a case that compares both other kinds with the same load without deadly tasks.

--- a/tests/deadly_task_tests.cpp
+++ b/tests/deadly_task_tests.cpp
@@ -222,6 +222,19 @@
     }
 }
 
+TEST_CASE("One kind of deadly task leaves other kinds their servers")
+{
+    for (const std::uint64_t seed : seedsToRun()) {
+        const SimulationResult calm = runSimulation(threeKinds(seed, 0));
+        const SimulationResult deadly = runSimulation(deadlyCards(seed));
+        for (const char *queue : {"preview", "overprint"}) {
+            INFO("seed " << seed << " queue " << queue << " crashes " << deadly.crashes);
+            // The users require that other kinds keep at least half of their share.
+            CHECK(inTimeShareWhileDeadly(deadly, queue) > 0.5 * inTimeShareWhileDeadly(calm, queue));
+        }
+    }
+}
+
 TEST_CASE("Servers that crash on their own fail no job and delay the jobs of about a second only")
 {
     for (const std::uint64_t seed : seedsToRun()) {
