Tests: rare deadly jobs neither delay nor fail other jobs of their kind

Cause: a deadly job each 3 s on 12 servers of one kind. Change: a case that requires 0.85 of the other jobs in time, less than 2% of them answered as failed, and the bound on starts.

--- a/tests/deadly_task_tests.cpp
+++ b/tests/deadly_task_tests.cpp
@@ -235,6 +235,17 @@
     }
 }
 
+TEST_CASE("Rare deadly jobs neither delay nor fail other jobs of their kind")
+{
+    for (const std::uint64_t seed : seedsToRun()) {
+        const SimulationResult result = runSimulation(rareDeadlyJobs(seed), RareDeadlyDuration);
+        checkNoViolations(result, seed);
+        INFO("seed " << seed << " crashes " << result.crashes << " innocent failed " << result.innocentFailed);
+        CHECK(inTimeShare(result.kinds.at("preview")) > 0.85);
+        CHECK(static_cast<double>(result.innocentFailed) < 0.02 * static_cast<double>(result.submitted));
+    }
+}
+
 TEST_CASE("Servers that crash on their own fail no job and delay the jobs of about a second only")
 {
     for (const std::uint64_t seed : seedsToRun()) {
