Simulation: the coordinator of a deadly task is killed

Change: coordinatorKilledAfter in place of entriesKilledAt: the first deadly task that crashes a server after that time has the entry killed at which its client waits, within 1 s. The case requires that the kill took place.

--- a/tests/deadly_task_tests.cpp
+++ b/tests/deadly_task_tests.cpp
@@ -128,13 +128,13 @@
     return settings;
 }
 
-/// Deadly jobs while processes fail. Entry 0 is killed while it coordinates deadly jobs, which are then submitted to another
-/// entry.
+/// Deadly jobs while processes fail. An entry is killed after a task of one of its jobs has crashed a server, and the job is
+/// submitted to another entry.
 SimulationSettings deadlyCardsWithFaults(std::uint64_t seed)
 {
     SimulationSettings settings = deadlyCardsOfPatientClients(seed);
     settings.faults.processFaults = true;
-    settings.entriesKilledAt[0] = 10.0;
+    settings.coordinatorKilledAfter = seconds((DeadlyFromSecond + DeadlyUntilSecond) / 2);
     return settings;
 }
 
@@ -218,7 +218,9 @@
 TEST_CASE("A task that has crashed three servers is not started again when its coordinator is killed and processes fail")
 {
     for (const std::uint64_t seed : seedsToRun()) {
-        checkNoViolations(runSimulation(deadlyCardsWithFaults(seed)), seed);
+        const SimulationResult result = runSimulation(deadlyCardsWithFaults(seed));
+        checkNoViolations(result, seed);
+        CHECK(result.coordinatorKills == 1);
     }
 }
 
--- a/tests/dispatch_simulation.cpp
+++ b/tests/dispatch_simulation.cpp
@@ -27,6 +27,8 @@
 constexpr Duration MaxCrashDowntime = milliseconds(3400);
 constexpr double ImmediateCrashRate = 0.5; ///< Fraction of deadly starts under which the server crashes at once.
 constexpr Duration MaxCrashDelay = milliseconds(10);
+/// Time from the crash of a server until the kill of the coordinator. An agent reports the lost runs within it.
+constexpr Duration MaxCoordinatorKillDelay = seconds(1);
 constexpr double AllTasksDeadlyRate = 0.5; ///< Fraction of deadly jobs whose tasks are all deadly.
 constexpr std::uint32_t MaxCrashesPerTask = 3; ///< A task under which this many servers have crashed must not be started again.
 /// What a call returns if nothing listens at the address of the server.
@@ -154,14 +156,16 @@
     void killProcess(bool isEntry, std::size_t index);
     /// Ends a server process: its runs are lost, open calls to it end soon, new ones are refused until it restarts.
     void crashServer(Server &server);
+    /// Kills the entry at which the client of a deadly job waits, if it is due by SimulationSettings::coordinatorKilledAfter.
+    void killCoordinator(const JobId &id);
     /// Starts the next incarnation of a server that is down.
     void restartServer(Server &server);
     /// Records the start of a deadly task and crashes the server at once or within a few milliseconds.
     void startDeadlyTask(Server &server, const TaskRef &task);
     /// Draws whether a new job is deadly, and which of its tasks are.
     void drawDeadlyTasks(ClientJob &job, std::uint32_t tasks);
-    /// Schedules serverCrashes and entriesKilledAt.
-    void scheduleFixedFaults();
+    /// Schedules SimulationSettings::serverCrashes.
+    void scheduleServerCrashes();
     /// Injects a random process fault and schedules the next one.
     void injectFault();
     /// Creates a job, submits it and schedules the next one (Poisson arrivals).
@@ -454,6 +458,7 @@
                 "server=" + std::to_string(server.index) + " runs=" + std::to_string(server.running.size()));
     for (const TaskRef &task : server.deadlyTasks) {
         m_result.mostCrashes = std::max<std::uint64_t>(m_result.mostCrashes, ++m_crashesByTask[task]);
+        killCoordinator(task.job);
     }
     for (const std::pair<const std::uint64_t, Action> &call : server.openCalls) {
         scheduleAfter(randomDuration(MinBrokenConnectionDelay, MaxBrokenConnectionDelay), call.second);
@@ -842,19 +847,36 @@
     });
 }
 
-void DispatchSimulation::Impl::scheduleFixedFaults()
+void DispatchSimulation::Impl::killCoordinator(const JobId &id)
 {
-    const TimePoint start = m_now;
-    for (const ServerCrash &crash : m_settings.serverCrashes) {
-        scheduleAt(start + Duration(static_cast<std::int64_t>(crash.second * 1e6)),
-                   [this, index = crash.server]() { crashServer(*m_servers[index]); });
+    const std::optional<Duration> &after = m_settings.coordinatorKilledAfter;
+    if (!after || m_result.coordinatorKills > 0 || m_now < TimePoint(seconds(1000)) + *after) {
+        return;
     }
-    for (const std::pair<const std::size_t, double> &kill : m_settings.entriesKilledAt) {
-        scheduleAt(start + Duration(static_cast<std::int64_t>(kill.second * 1e6)), [this, index = kill.first]() {
-            if (m_entries[index]->up) {
-                killProcess(true, index);
-            }
+    const std::shared_ptr<ClientJob> &job = m_jobs.at(id);
+    const auto isClient = [&job](const std::pair<const ClientTag, std::shared_ptr<ClientJob>> &client) {
+        return client.second == job;
+    };
+    const std::vector<std::unique_ptr<Process>>::const_iterator it =
+        std::find_if(m_entries.begin(), m_entries.end(), [&isClient](const std::unique_ptr<Process> &entry) {
+            return std::any_of(entry->clients.begin(), entry->clients.end(), isClient);
         });
+    if (it == m_entries.end()) {
+        return;
+    }
+    ++m_result.coordinatorKills;
+    scheduleAfter(randomDuration(Duration(0), MaxCoordinatorKillDelay), [this, &entry = **it]() {
+        if (entry.up) {
+            killProcess(true, entry.index);
+        }
+    });
+}
+
+void DispatchSimulation::Impl::scheduleServerCrashes()
+{
+    for (const ServerCrash &crash : m_settings.serverCrashes) {
+        scheduleAfter(Duration(static_cast<std::int64_t>(crash.second * 1e6)),
+                      [this, index = crash.server]() { crashServer(*m_servers[index]); });
     }
 }
 
@@ -1054,7 +1076,7 @@
         startAgent(i);
         scheduleAfter(randomDuration(Duration(0), milliseconds(200)), [this, i]() { announce(i); });
     }
-    scheduleFixedFaults();
+    scheduleServerCrashes();
     const TimePoint loadStart = m_now + seconds(1);
     scheduleAt(loadStart, [this]() { submitNextJob(); });
     if (m_settings.faults.processFaults) {
--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <ostream>
 #include <queue>
 #include <random>
@@ -76,7 +77,8 @@
     /// These servers crash like those that start a deadly task: their connections close, they refuse new ones, and they restart
     /// after 3.0 to 3.4 s.
     std::vector<ServerCrash> serverCrashes;
-    std::map<std::size_t, double> entriesKilledAt; ///< By entry index: seconds after the start at which the process is killed.
+    /// Time since the start. The first deadly task that crashes a server after it has its coordinator killed within a second.
+    std::optional<Duration> coordinatorKilledAfter;
     std::ostream *log = nullptr; ///< Receives the log of all processes; null discards it.
     std::function<double(double second)> loadFactor = [](double) {
         return 1.0;
@@ -123,6 +125,7 @@
     std::uint64_t crashes = 0; ///< Crashes of servers under deadly tasks and by serverCrashes.
     std::uint64_t deadlyStarts = 0; ///< Starts of deadly tasks that servers executed.
     std::uint64_t mostCrashes = 0; ///< Largest number of crashes under one deadly task.
+    std::uint64_t coordinatorKills = 0; ///< Entries killed because of coordinatorKilledAfter.
     std::uint64_t innocentFailed = 0; ///< Jobs without a deadly task whose final answer was Failed.
 };
 
