--- a/tests/deadly_task_tests.cpp
+++ b/tests/deadly_task_tests.cpp
@@ -150,7 +150,8 @@
     // A client whose connection breaks resubmits too late for its objective, whatever the servers do.
     settings.brokenConnectionRate = 0;
     settings.jobsPerSecond = 87;
-    settings.kinds = {JobKind{"preview", 1.0, 4, milliseconds(200), 0.4, 0.4, 3100, 0, 1.0 / (3 * 87)}};
+    settings.kinds = {JobKind{"preview", 1.0, 4, milliseconds(200), 0.4, 0.4, 3100, 0}};
+    settings.deadlyInterval = seconds(3);
     return settings;
 }
 
@@ -165,7 +166,7 @@
     settings.brokenConnectionRate = 0;
     const double first = static_cast<double>(FirstCrashSecond);
     const double second = static_cast<double>(SecondCrashSecond);
-    settings.serverCrashes = {ServerCrash{first, 1}, ServerCrash{first, 4}, ServerCrash{second, 2}, ServerCrash{second, 8}};
+    settings.serverCrashes = {ScheduledCrash{first, 1}, ScheduledCrash{first, 4}, ScheduledCrash{second, 2}, ScheduledCrash{second, 8}};
     return settings;
 }
 
--- a/tests/dispatch_simulation.cpp
+++ b/tests/dispatch_simulation.cpp
@@ -199,6 +199,7 @@
     std::set<JobId> m_notRunJobs; ///< Jobs whose submissions were all answered with NotRun: no task of theirs may start.
     std::map<JobId, std::shared_ptr<ClientJob>> m_jobs;
     std::map<TaskRef, std::uint32_t> m_crashesByTask; ///< Server processes that crashed after they had started the deadly task.
+    Duration m_nextDeadlyAt{0}; ///< Since the start; for SimulationSettings::deadlyInterval.
     TimePoint m_end;
     bool m_loadEnded = false;
 };
@@ -874,7 +875,7 @@
 
 void DispatchSimulation::Impl::scheduleServerCrashes()
 {
-    for (const ServerCrash &crash : m_settings.serverCrashes) {
+    for (const ScheduledCrash &crash : m_settings.serverCrashes) {
         scheduleAfter(Duration(static_cast<std::int64_t>(crash.second * 1e6)),
                       [this, index = crash.server]() { crashServer(*m_servers[index]); });
     }
@@ -943,10 +944,16 @@
 {
     const Duration sinceStart = m_now - TimePoint(seconds(1000));
     const double deadlyShare = m_settings.kinds[job.kind].deadlyShare;
-    if (deadlyShare == 0 || sinceStart < m_settings.deadlyFrom || sinceStart >= m_settings.deadlyUntil) {
+    const bool atIntervals = m_settings.deadlyInterval > Duration(0);
+    if ((deadlyShare == 0 && !atIntervals) || sinceStart < m_settings.deadlyFrom || sinceStart >= m_settings.deadlyUntil) {
         return;
     }
-    job.deadly = randomFraction() < deadlyShare;
+    if (atIntervals) {
+        job.deadly = sinceStart >= m_nextDeadlyAt;
+        m_nextDeadlyAt += job.deadly ? m_settings.deadlyInterval : Duration(0);
+    } else {
+        job.deadly = randomFraction() < deadlyShare;
+    }
     if (job.deadly && randomFraction() >= AllTasksDeadlyRate) {
         job.onlyDeadlyTask = static_cast<std::uint32_t>(randomFraction() * tasks);
     }
--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -45,7 +45,7 @@
 };
 
 /// A time at which a backend server crashes on its own.
-struct ServerCrash
+struct ScheduledCrash
 {
     double second = 0; ///< Since the start.
     std::size_t server = 0;
@@ -72,11 +72,13 @@
     /// By server index: seconds after the start from which the server does not respond; its runs are lost.
     std::map<std::size_t, double> unresponsiveFrom;
     std::set<std::size_t> failingServers; ///< Servers on which every run fails.
+    /// If set, the first new job of each such interval is deadly, of whichever kind, instead of the share of its kind.
+    Duration deadlyInterval{0};
     Duration deadlyFrom{0}; ///< Since the start; see JobKind::deadlyShare.
     Duration deadlyUntil = seconds(1000);
     /// These servers crash like those that start a deadly task: their connections close, they refuse new ones, and they restart
     /// after 3.0 to 3.4 s.
-    std::vector<ServerCrash> serverCrashes;
+    std::vector<ScheduledCrash> serverCrashes;
     /// Time since the start. The first deadly task that crashes a server after it has its coordinator killed within a second.
     std::optional<Duration> coordinatorKilledAfter;
     std::ostream *log = nullptr; ///< Receives the log of all processes; null discards it.
