A task under which two servers have crashed is given up

Cause: a crash was held against the server only. A lost run was started again on the next server, up to twelve times; what an entry knew of a task ended with the job's answer and with the entry, so a resubmitted job began anew. Change: an agent whose server has ended (its connection is refused, or a new incarnation has replaced it) reports the crash to all entries, with the tasks that had a run there. Runs that the server had not listed yet are suspects, the others bystanders. After two crashes as a suspect, or three in all, a task's job is answered as failed and its resubmission is not started. Agents outlive their server and the entries, repeat a crash for a second, and tell entries that start within 30 s.

--- a/src/adapters/dispatch_codec.cpp
+++ b/src/adapters/dispatch_codec.cpp
@@ -105,6 +105,16 @@
         for (const RunEvent &event : from.events) {
             toWire(event, report->add_events());
         }
+        for (const ServerCrash &crash : from.crashes) {
+            wire::Crash *added = report->add_crashes();
+            added->set_number(crash.number);
+            for (const TaskRef &task : crash.suspects) {
+                toWire(RunRef{task, RunNumber()}, added->add_suspects());
+            }
+            for (const TaskRef &task : crash.bystanders) {
+                toWire(RunRef{task, RunNumber()}, added->add_bystanders());
+            }
+        }
     }
 
     void operator()(const EntryReport &from) const
@@ -253,6 +263,17 @@
         decoded.serverUnresponsive = event.late_server();
         report.events.push_back(decoded);
     }
+    for (const wire::Crash &crash : from.crashes()) {
+        ServerCrash decoded;
+        decoded.number = crash.number();
+        for (const wire::Run &suspect : crash.suspects()) {
+            decoded.suspects.push_back(decodeRunRef(suspect).task);
+        }
+        for (const wire::Run &bystander : crash.bystanders()) {
+            decoded.bystanders.push_back(decodeRunRef(bystander).task);
+        }
+        report.crashes.push_back(std::move(decoded));
+    }
     return report;
 }
 
--- a/src/adapters/http_backend.cpp
+++ b/src/adapters/http_backend.cpp
@@ -17,6 +17,7 @@
     TaskResult result;
     switch (outcome.completion) {
     case HttpCompletion::NotSent:
+    case HttpCompletion::Refused:
         result.status = TaskStatus::NotStarted;
         break;
     case HttpCompletion::Lost:
--- a/src/adapters/http_client.cpp
+++ b/src/adapters/http_client.cpp
@@ -130,7 +130,8 @@
         const tcp::endpoint address(asio::ip::address_v4(call->server.ip), call->server.port);
         call->connection->stream.async_connect(address, [self = shared_from_this(), call](beast::error_code ec) {
             if (ec) {
-                self->finish(call, HttpCompletion::NotSent, false);
+                self->finish(call, ec == asio::error::connection_refused ? HttpCompletion::Refused : HttpCompletion::NotSent,
+                             false);
                 return;
             }
             beast::error_code optionError;
--- a/src/adapters/http_client.h
+++ b/src/adapters/http_client.h
@@ -22,6 +22,7 @@
 enum class HttpCompletion : std::uint8_t {
     Answered, ///< A complete response was received, with any status code.
     NotSent, ///< No byte of the request was sent, so the server can't have processed it.
+    Refused, ///< As NotSent, because the connection was refused: nothing listens at the address.
     Lost, ///< No complete response was received; the server may have processed the request.
 };
 
@@ -30,6 +31,12 @@
 {
     HttpCompletion completion = HttpCompletion::Lost;
     HttpResponse response; ///< Valid only for Answered.
+
+    /// Whether the server certainly has not received the request.
+    bool notSent() const noexcept
+    {
+        return completion == HttpCompletion::NotSent || completion == HttpCompletion::Refused;
+    }
 };
 
 /// Sends requests over pooled keep-alive connections, with a maximum number of connections per server. A connection returns to
--- a/src/core/dispatch/agent_coordinators.cpp
+++ b/src/core/dispatch/agent_coordinators.cpp
@@ -34,6 +34,7 @@
     }
     if (arrival == PeerSession::Arrival::NewIncarnation) {
         stopRunsOf(now, from, "its coordinator restarted");
+        coordinator.contactSince = now;
         coordinator.lastKnownAliveAt = TimePoint();
         coordinator.unacknowledged.clear();
         coordinator.sentUpTo = 0;
@@ -215,6 +216,7 @@
             report.events.push_back(event);
         }
     }
+    report.crashes = m_crashReports.reportable(now, coordinator.contactSince);
     if (!report.events.empty()) {
         coordinator.sentUpTo = std::max(coordinator.sentUpTo, report.events.back().number);
         if (report.events.front().number == coordinator.unacknowledged.front().number) {
--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -2,6 +2,7 @@
 /// reports the state of each run to the entry that coordinates it.
 #pragma once
 
+#include "core/dispatch/crash_history.h"
 #include "core/dispatch/entry_selection.h"
 #include "core/dispatch/latency_histogram.h"
 #include "core/dispatch/peer_session.h"
@@ -83,6 +84,7 @@
     std::uint64_t pollsFailed = 0; ///< Polls that failed or timed out.
     std::uint64_t coordinatorsSilent = 0; ///< Coordinators that timed out.
     std::uint64_t connectionsReplaced = 0;
+    std::uint64_t serverCrashes = 0; ///< Crashes of the backend server with runs on it.
 };
 
 /// State machine of an agent. It has no clock, socket or thread of its own: the caller passes the current time and delivers
@@ -154,9 +156,11 @@
     {
         explicit Coordinator(TimePoint now)
             : session(now)
+            , contactSince(now)
         { }
 
         PeerSession session;
+        TimePoint contactSince; ///< When this incarnation of the entry was first heard of.
         /// Latest time at which the entry is known to have been running, from the maximum age of its messages.
         TimePoint lastKnownAliveAt;
         std::deque<RunEvent> unacknowledged;
@@ -199,6 +203,9 @@
     void requestStop(TimePoint now, RunRecord &record);
     void stopRunsOf(TimePoint now, const Endpoint &coordinator, const char *cause);
     void endServerIncarnation(TimePoint now, const char *cause);
+    /// Records the end of the backend server's process, once for each incarnation, and reports it with the tasks that may have
+    /// caused it. To be called while the ledger still has the runs.
+    void recordCrash(TimePoint now);
     void recordAllRunsLost(TimePoint now, const char *cause);
     /// Requests the inventory of the backend server. The poll also renews the lease and acknowledges ended runs. The server holds
     /// a long poll until a run ends or pollHoldTime has passed.
@@ -268,6 +275,11 @@
     bool m_endsUnacknowledged = false; ///< The latest inventory has new finished runs that no poll has acknowledged.
     std::size_t m_startsInFlight = 0;
 
+    CrashReports m_crashReports;
+    bool m_crashRecorded = false; ///< The crash of the present incarnation of the server has been recorded.
+    /// Runs whose lease expired while the server did not respond. They are suspects if it turns out to have crashed.
+    std::vector<RunRecord> m_unresponsiveRuns;
+
     /// Runs that ended recently, or whose stop order arrived before their start order. A retransmitted or late start order is
     /// answered from here. The key includes the coordinator because each coordinator numbers the runs of a task independently.
     std::map<std::pair<RunRef, ProcessId>, RunEvent> m_endedRuns;
--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -16,6 +16,25 @@
 /// the increment, up from this minimum, which is the size of a usual clock correction.
 constexpr std::int64_t MinTokenIncrementMs = 1000;
 
+/// Sorts the tasks of a crashed server's runs by whether they may have caused the crash. A run that the server has listed as
+/// running has survived its start, so it is a suspect only if there is no other. The same holds for start requests that are still
+/// outstanding, as they may not have reached the server.
+ServerCrash analyzeCrash(std::vector<RunRecord> runs)
+{
+    const std::vector<RunRecord>::iterator firstBystander = std::partition(
+        runs.begin(), runs.end(), [](const RunRecord &run) { return !run.listed && run.state != RunRecord::State::Starting; });
+    const std::vector<RunRecord>::iterator suspectsEnd = firstBystander == runs.begin() ? runs.end() : firstBystander;
+    ServerCrash crash;
+    for (std::vector<RunRecord>::const_iterator it = runs.begin(); it != runs.end(); ++it) {
+        if (it < suspectsEnd) {
+            crash.suspects.push_back(it->ref.task);
+        } else {
+            crash.bystanders.push_back(it->ref.task);
+        }
+    }
+    return crash;
+}
+
 } // namespace
 
 bool AgentDispatch::onAnnouncement(TimePoint now, const ServerAnnouncement &announcement)
@@ -34,6 +53,7 @@
     }
     if (!sameIncarnation) {
         if (m_serverIncarnation) {
+            recordCrash(now);
             endServerIncarnation(now, "the backend server restarted");
         }
         m_serverIncarnation = announcement.incarnation;
@@ -93,6 +113,8 @@
     m_endsSeen = 0;
     m_endsUnacknowledged = false;
     m_reconciled = false;
+    m_crashRecorded = false;
+    m_unresponsiveRuns.clear();
     m_progress = ServerProgress();
     // A start request may have reached the new incarnation before this agent noticed the restart. Requests that are still in
     // flight carry the old fencing token; the new incarnation rejects them once it has been polled with the raised one.
@@ -105,6 +127,30 @@
     }
 }
 
+void AgentDispatch::recordCrash(TimePoint now)
+{
+    std::vector<RunRecord> runs = m_unresponsiveRuns;
+    for (const RunLedger::Records::value_type &entry : m_ledger.records()) {
+        if (entry.second.state != RunRecord::State::Queued && entry.second.coordinator.incarnation != Incarnation()) {
+            runs.push_back(entry.second);
+        }
+    }
+    if (m_crashRecorded || runs.empty()) {
+        return;
+    }
+    m_crashRecorded = true;
+    ++m_counters.serverCrashes;
+    ServerCrash crash = analyzeCrash(runs);
+    std::string suspects;
+    for (const TaskRef &task : crash.suspects) {
+        suspects += (suspects.empty() ? "" : ",") + toString(task);
+    }
+    m_log.write(LogLevel::Warning, "server-crashed",
+                "id=" + m_serverIncarnation->id + " runs=" + std::to_string(runs.size()) + " suspects=" + suspects);
+    m_crashReports.add(now, std::move(crash));
+    reportToAll(now);
+}
+
 void AgentDispatch::recordAllRunsLost(TimePoint now, const char *cause)
 {
     std::vector<RunRecord> lost;
@@ -203,9 +249,11 @@
         refused = RefusalReason::Invalid;
         break;
     case StartAnswer::NotSent:
+    case StartAnswer::Refused:
         refused = RefusalReason::Unreachable;
         m_reachable = false;
-        m_nextPollAt = now + m_settings.timing.probeInterval;
+        // After a refused connection, a poll shows whether the server has crashed with runs on it.
+        m_nextPollAt = answer == StartAnswer::Refused ? now : now + m_settings.timing.probeInterval;
         refuseQueuedRuns(now, RefusalReason::Unreachable);
         break;
     }
@@ -282,7 +330,10 @@
             pollServer(now, false);
             return;
         }
-        if (failure == PollFailure::NotSent && m_reachable) {
+        if (failure == PollFailure::Refused) {
+            recordCrash(now);
+        }
+        if ((failure == PollFailure::NotSent || failure == PollFailure::Refused) && m_reachable) {
             m_reachable = false;
             m_log.write(LogLevel::Warning, "server-unreachable", "id=" + m_serverIncarnation->id);
             refuseQueuedRuns(now, RefusalReason::Unreachable);
@@ -293,6 +344,7 @@
     }
     if (inventory->startTimeMs != 0 && m_serverIncarnation->startTimeMs != 0
         && inventory->startTimeMs != m_serverIncarnation->startTimeMs) {
+        recordCrash(now);
         endServerIncarnation(now, "the backend server restarted");
         m_serverIncarnation->startTimeMs = inventory->startTimeMs;
         m_clock.observe(inventory->clock, now);
@@ -302,6 +354,8 @@
     }
     m_reachable = true;
     m_lastPollUnanswered = false;
+    m_crashRecorded = false;
+    m_unresponsiveRuns.clear();
     m_inventoryAt = now;
     m_clock.observe(inventory->clock, now);
     reconcile(now, number, *inventory);
@@ -340,6 +394,7 @@
             record = &m_ledger.adopt(listed.run);
             requestStop(now, *record);
         }
+        record->listed = true;
         if (record != nullptr && record->serverRestarted && record->ref == listed.run) {
             record->serverRestarted = false;
             record->state = RunRecord::State::Running;
@@ -433,6 +488,9 @@
     }
     for (RunRecord &record : lost) {
         m_ledger.remove(record.ref.task);
+        if (!m_crashRecorded) {
+            m_unresponsiveRuns.push_back(record);
+        }
         recordEnd(now, record, RunEnd::Lost, RefusalReason::Unreachable, true);
     }
     if (m_lastPollUnanswered && m_reachable && now - m_inventoryAt > m_settings.timing.serverTimeout && m_ledger.booked() > 0) {
--- /dev/null
+++ b/src/core/dispatch/crash_history.cpp
@@ -0,0 +1,122 @@
+#include "core/dispatch/crash_history.h"
+
+#include <algorithm>
+
+namespace cuminscale::dispatch
+{
+
+namespace
+{
+
+/// Crashes that a task is suspected of after which it is not started again. One may be a coincidence.
+constexpr std::uint32_t MaxSuspectedCrashes = 2;
+/// The same for all crashes of servers that had a run of the task, since the wrong tasks may have been suspected.
+constexpr std::uint32_t MaxCrashes = 3;
+/// A crash is repeated in an agent's reports for this long, several heartbeats.
+constexpr Duration ReportPeriod = milliseconds(1000);
+/// Clients resubmit a job for as long as they wait for its answer, and seconds after it.
+constexpr Duration Retention = seconds(30);
+constexpr std::size_t MaxTasksPerCrash = 64; ///< Limits the size of a report.
+constexpr std::size_t MaxRecords = 4096;
+
+} // namespace
+
+void CrashReports::add(TimePoint now, ServerCrash &&crash)
+{
+    while (!m_records.empty() && now - m_records.front().at > Retention) {
+        m_records.pop_front();
+    }
+    crash.number = ++m_lastNumber;
+    crash.suspects.resize(std::min(crash.suspects.size(), MaxTasksPerCrash));
+    crash.bystanders.resize(std::min(crash.bystanders.size(), MaxTasksPerCrash - crash.suspects.size()));
+    m_records.push_back(Record{now, std::move(crash)});
+}
+
+std::vector<ServerCrash> CrashReports::reportable(TimePoint now, TimePoint contactSince) const
+{
+    std::vector<ServerCrash> crashes;
+    for (const Record &record : m_records) {
+        if (now - std::max(record.at, contactSince) <= ReportPeriod && now - record.at <= Retention) {
+            crashes.push_back(record.crash);
+        }
+    }
+    return crashes;
+}
+
+bool CrashHistory::record(TimePoint now, const ProcessId &agent, const ServerCrash &crash)
+{
+    const CrashId id{agent, crash.number};
+    if (!m_known.insert(id).second) {
+        return false;
+    }
+    m_records.push_back(Record{now, id, crash});
+    updateAll(crash, true);
+    return true;
+}
+
+void CrashHistory::updateAll(const ServerCrash &crash, bool add)
+{
+    for (const TaskRef &task : crash.suspects) {
+        update(task, true, add);
+    }
+    for (const TaskRef &task : crash.bystanders) {
+        update(task, false, add);
+    }
+}
+
+void CrashHistory::update(const TaskRef &task, bool suspected, bool add)
+{
+    TaskCrashes &crashes = m_crashesByTask[task];
+    JobCrashes &job = m_crashesByJob[task.job];
+    const auto addTo = [&](std::uint32_t sign) {
+        job.tasks += crashes.all > 0 ? sign : 0;
+        job.suspects += crashes.suspected > 0 ? sign : 0;
+        job.overLimit += exceedsLimit(crashes) ? sign : 0;
+    };
+    // The task leaves the counts of its job with its old numbers and enters them with the new ones.
+    addTo(-1U);
+    const std::uint32_t step = add ? 1U : -1U;
+    crashes.all += step;
+    crashes.suspected += suspected ? step : 0;
+    addTo(1U);
+    if (crashes.all == 0) {
+        m_crashesByTask.erase(task);
+    }
+    if (job.tasks == 0) {
+        m_crashesByJob.erase(task.job);
+    }
+}
+
+bool CrashHistory::exceedsLimit(const TaskCrashes &crashes) noexcept
+{
+    return crashes.suspected >= MaxSuspectedCrashes || crashes.all >= MaxCrashes;
+}
+
+bool CrashHistory::isSuspect(const TaskRef &task) const
+{
+    const std::unordered_map<TaskRef, TaskCrashes, TaskRefHash>::const_iterator it = m_crashesByTask.find(task);
+    return it != m_crashesByTask.end() && it->second.suspected > 0;
+}
+
+bool CrashHistory::hasSuspect(const JobId &job) const
+{
+    const std::unordered_map<JobId, JobCrashes, JobIdHash>::const_iterator it = m_crashesByJob.find(job);
+    return it != m_crashesByJob.end() && it->second.suspects > 0;
+}
+
+bool CrashHistory::exceedsLimit(const JobId &job) const
+{
+    const std::unordered_map<JobId, JobCrashes, JobIdHash>::const_iterator it = m_crashesByJob.find(job);
+    return it != m_crashesByJob.end() && it->second.overLimit > 0;
+}
+
+void CrashHistory::expire(TimePoint now)
+{
+    while (!m_records.empty() && (now - m_records.front().at > Retention || m_records.size() > MaxRecords)) {
+        updateAll(m_records.front().crash, false);
+        m_known.erase(m_records.front().id);
+        m_records.pop_front();
+    }
+}
+
+} // namespace cuminscale::dispatch
--- /dev/null
+++ b/src/core/dispatch/crash_history.h
@@ -0,0 +1,94 @@
+/// Crashes of backend servers, and the tasks that may have caused them.
+#pragma once
+
+#include "core/dispatch/messages.h"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
+
+namespace cuminscale::dispatch
+{
+
+/// Crashes that an agent has noticed, kept for the entries. The agent outlives both its server and the entry that ordered the
+/// runs, so what it saw is still known when the client resubmits the job to another entry.
+class CrashReports
+{
+public:
+    /// Adds a crash and numbers it.
+    void add(TimePoint now, ServerCrash &&crash);
+
+    /// The crashes to include in a report to an entry that is known since `contactSince`. Reports are not acknowledged, so each
+    /// crash is repeated for a while.
+    std::vector<ServerCrash> reportable(TimePoint now, TimePoint contactSince) const;
+
+private:
+    struct Record
+    {
+        TimePoint at;
+        ServerCrash crash;
+    };
+
+    std::uint64_t m_lastNumber = 0;
+    std::deque<Record> m_records; ///< Oldest first.
+};
+
+/// What an entry has learned about crashes from all agents.
+class CrashHistory
+{
+public:
+    /// Records a crash that an agent has reported. Returns false if it was known already.
+    bool record(TimePoint now, const ProcessId &agent, const ServerCrash &crash);
+
+    /// Whether the task is suspected of having crashed a server.
+    bool isSuspect(const TaskRef &task) const;
+
+    /// Whether that holds for any task of the job.
+    bool hasSuspect(const JobId &job) const;
+
+    /// Whether so many servers have crashed under a task of the job that the job must not be run again.
+    bool exceedsLimit(const JobId &job) const;
+
+    /// Forgets what is older than the retention.
+    void expire(TimePoint now);
+
+private:
+    /// The number of a crash is unique within an incarnation of its agent.
+    using CrashId = std::pair<ProcessId, std::uint64_t>;
+
+    struct Record
+    {
+        TimePoint at;
+        CrashId id;
+        ServerCrash crash;
+    };
+
+    /// Crashes of servers that had a run of one task.
+    struct TaskCrashes
+    {
+        std::uint32_t suspected = 0;
+        std::uint32_t all = 0;
+    };
+
+    /// Numbers of tasks of one job.
+    struct JobCrashes
+    {
+        std::uint32_t tasks = 0; ///< All tasks that had a run on a server that crashed.
+        std::uint32_t suspects = 0;
+        std::uint32_t overLimit = 0;
+    };
+
+    static bool exceedsLimit(const TaskCrashes &crashes) noexcept;
+    /// Adds a crash under one task, or removes it.
+    void update(const TaskRef &task, bool suspected, bool add);
+    void updateAll(const ServerCrash &crash, bool add);
+
+    std::deque<Record> m_records; ///< Oldest first.
+    std::set<CrashId> m_known;
+    std::unordered_map<TaskRef, TaskCrashes, TaskRefHash> m_crashesByTask;
+    std::unordered_map<JobId, JobCrashes, JobIdHash> m_crashesByJob;
+};
+
+} // namespace cuminscale::dispatch
--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -198,6 +198,9 @@
     default:
         break;
     }
+    if (refuseCrashingJob(client, id, *queue)) {
+        return;
+    }
     if (const Endpoint *remote = remoteCoordinator(now, id)) {
         joinRemoteJob(now, *remote, waiting, queue, id, spec);
         return;
@@ -516,6 +519,7 @@
     while (!m_endedOrder.empty() && now - m_endedOrder.front().first > m_settings.timing.endedJobRetention) {
         evictOldestEndedJob();
     }
+    m_crashes.expire(now);
     maintainJoinedJobs(now);
     maintainAgents(now);
     maintainEntries(now);
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -3,6 +3,7 @@
 
 #include "core/dispatch/config_fetch.h"
 #include "core/dispatch/cpu_overload_detector.h"
+#include "core/dispatch/crash_history.h"
 #include "core/dispatch/job.h"
 #include "core/dispatch/latency_histogram.h"
 #include "core/dispatch/load_shedding.h"
@@ -90,6 +91,7 @@
     std::uint64_t ordersRepeated = 0; ///< Start orders retransmitted.
     std::uint64_t connectionsReplaced = 0;
     std::uint64_t configsFromPeers = 0;
+    std::uint64_t crashingJobs = 0; ///< Submissions that failed because servers crashed under a task of the job.
 };
 
 /// Coordinates the jobs that clients submit to this entry: admits or refuses them, assigns their tasks to agents, restarts slow
@@ -98,7 +100,8 @@
 ///
 /// The class has no clock, sockets or threads: callers pass the current time. entry_dispatch.cpp implements the client-facing
 /// side of jobs, entry_joined_jobs.cpp jobs that another entry coordinates, entry_runs.cpp the placement of runs,
-/// entry_supervision.cpp the detection of slow runs and servers, and entry_peers.cpp the protocol with agents and other entries.
+/// entry_crashes.cpp the consequences of server crashes, entry_supervision.cpp the detection of slow runs and servers, and
+/// entry_peers.cpp the protocol with agents and other entries.
 class EntryDispatch
 {
 public:
@@ -289,6 +292,10 @@
     /// The other entry that coordinates the job; null if there is none or it is silent.
     const Endpoint *remoteCoordinator(TimePoint now, const JobId &id) const;
     void refuse(TimePoint now, ClientTag client, const JobId &id, const QueueRule &queue, const char *reason);
+    /// Records a crash of a server, and ends the jobs of which a task is now suspected of too many.
+    void handleServerCrash(TimePoint now, const ProcessId &agent, const ServerCrash &crash);
+    /// Answers the client of a job that has crashed too many servers. Returns false for other jobs.
+    bool refuseCrashingJob(ClientTag client, const JobId &id, const QueueRule &queue);
 
     EntrySettings m_settings;
     LinkPort &m_links;
@@ -298,6 +305,7 @@
     NamedHistograms m_jobTimes;
     FleetView m_fleet;
     EarliestFinish m_placement;
+    CrashHistory m_crashes;
     LoadShedding m_loadShedding;
     CpuOverloadDetector m_cpuOverload;
     std::map<Endpoint, EntryPeer> m_entries;
--- a/src/core/dispatch/entry_peers.cpp
+++ b/src/core/dispatch/entry_peers.cpp
@@ -59,6 +59,9 @@
         }
         agent.eventsSeen = report.oldestEvent - 1;
     }
+    for (const ServerCrash &crash : report.crashes) {
+        handleServerCrash(now, envelope.from, crash);
+    }
     for (const RunEvent &event : report.events) {
         if (event.number != agent.eventsSeen + 1) {
             continue; // A duplicate, or an event after a gap: the agent retransmits it with the missing ones.
--- a/src/core/dispatch/messages.h
+++ b/src/core/dispatch/messages.h
@@ -63,6 +63,14 @@
     bool serverUnresponsive = false;
 };
 
+/// A crash of a backend server.
+struct ServerCrash
+{
+    std::uint64_t number = 0; ///< Sequence number of the crashes that this incarnation of the agent has noticed.
+    std::vector<TaskRef> suspects; ///< Tasks whose runs had just been started: one of them has probably caused it.
+    std::vector<TaskRef> bystanders; ///< The other tasks that had a run on the server.
+};
+
 /// An entry, as others name it.
 struct EntryAddress
 {
@@ -79,6 +87,7 @@
     std::uint64_t ordersSeen = 0; ///< Highest number of the receiver's orders that the load accounts for.
     std::uint64_t oldestEvent = 0; ///< Lowest number that this or a later report can still contain; 0 if there was no event yet.
     std::vector<RunEvent> events;
+    std::vector<ServerCrash> crashes; ///< Recent crashes of the backend server; each is repeated in several reports.
     /// The agent has chosen other entries and sends this one no more reports, except on runs that it orders.
     bool detached = false;
 };
--- a/src/core/dispatch/run_ledger.h
+++ b/src/core/dispatch/run_ledger.h
@@ -36,6 +36,7 @@
     std::uint32_t startAttempts = 0; ///< Number of start requests sent. They are idempotent: the server starts the run once.
     std::uint32_t startsInFlight = 0; ///< Start requests without a response so far.
     std::uint64_t conclusiveFromPoll = 0; ///< Polls from this number on list the run if it is active; 0 if not known yet.
+    bool listed = false; ///< The server has listed it as running.
     /// The server has restarted since the start request: the run was lost, or it began after the restart.
     bool serverRestarted = false;
     bool stopRequested = false;
--- a/src/daemon/agent_process.cpp
+++ b/src/daemon/agent_process.cpp
@@ -105,6 +105,7 @@
         {"looks_failed", counters.pollsFailed},
         {"coordinators_silent", counters.coordinatorsSilent},
         {"connections_replaced", counters.connectionsReplaced},
+        {"server_crashes", counters.serverCrashes},
         {"store_calls", m_store->calls()},
         {"runs_booked", ledger.booked()},
         {"runs_waiting", ledger.waiting()},
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -151,6 +151,7 @@
         {"orders_repeated", counters.ordersRepeated},
         {"connections_replaced", counters.connectionsReplaced},
         {"configs_from_peers", counters.configsFromPeers},
+        {"jobs_crashing_servers", counters.crashingJobs},
         {"store_calls", m_store->calls()},
         {"store_failures", m_store->failures()},
         {"config_version", m_dispatch->config().version},
--- a/src/ports/dispatch_ports.h
+++ b/src/ports/dispatch_ports.h
@@ -55,6 +55,7 @@
     Unhealthy, ///< The server is overloaded or unavailable; it did not start the run.
     Invalid,
     NotSent, ///< No byte of the request left this process.
+    Refused, ///< As NotSent, because nothing listens at the server's address: its process has ended.
     Unknown, ///< No usable response: the run may have started, or may still start later.
 };
 
@@ -102,7 +103,7 @@
 };
 
 /// Why a PollRequest returned no inventory; the values have the same meaning as in StartAnswer.
-enum class PollFailure : std::uint8_t { None, StaleToken, IncarnationMismatch, NotSent, Unknown };
+enum class PollFailure : std::uint8_t { None, StaleToken, IncarnationMismatch, NotSent, Refused, Unknown };
 
 /// The backend server that an agent manages. Responses arrive through the callbacks of AgentDispatch.
 class ServerPort
@@ -145,7 +146,8 @@
 /// The final result of a job, as its client receives it.
 enum class JobOutcome : std::uint8_t {
     Succeeded,
-    Failed, ///< A task failed as many times as its queue allows (QueueRule::maxAttempts).
+    /// A task failed as many times as its queue allows (QueueRule::maxAttempts), or servers crashed under it.
+    Failed,
     Cancelled,
     NotRun, ///< No task of the job has started or will start.
     GivenUp, ///< Abandoned before its end; some tasks may have run. A resubmission starts the whole job again.
--- a/tests/dispatch_simulation.cpp
+++ b/tests/dispatch_simulation.cpp
@@ -32,8 +32,8 @@
 constexpr double AllTasksDeadlyRate = 0.5; ///< Fraction of deadly jobs whose tasks are all deadly.
 constexpr std::uint32_t MaxCrashesPerTask = 3; ///< A task under which this many servers have crashed must not be started again.
 /// What a call returns if nothing listens at the address of the server.
-constexpr StartAnswer RefusedStartAnswer = StartAnswer::NotSent;
-constexpr PollFailure RefusedPollFailure = PollFailure::NotSent;
+constexpr StartAnswer RefusedStartAnswer = StartAnswer::Refused;
+constexpr PollFailure RefusedPollFailure = PollFailure::Refused;
 constexpr std::uint16_t PeerPort = 7000;
 constexpr std::uint32_t EntrySubnet = 0x0A010000;
 constexpr std::uint32_t AgentSubnet = 0x0A020000;
--- a/tools/load/runner.cpp
+++ b/tools/load/runner.cpp
@@ -237,8 +237,7 @@
                     sendWithRetries(index, HttpRequest(*retryRequest), sent, giveUpAt, attempt + 1);
                     return;
                 }
-                const bool shouldRetry = outcomeUnknown
-                    && (retryRequest->method == "PUT" || outcome.completion == HttpCompletion::NotSent)
+                const bool shouldRetry = outcomeUnknown && (retryRequest->method == "PUT" || outcome.notSent())
                     && std::chrono::steady_clock::now() + RetryDelay < giveUpAt;
                 if (!shouldRetry) {
                     recordResponse(index, std::move(outcome), sent);
@@ -258,8 +257,8 @@
         Sample &sample = m_samples[index];
         sample.responseTime = std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - sent);
         if (outcome.completion != HttpCompletion::Answered) {
-            sample.result = outcome.completion == HttpCompletion::NotSent ? ArrivalResult::NotRun : ArrivalResult::Unknown;
-            sample.reason = outcome.completion == HttpCompletion::NotSent ? "no connection" : "connection lost";
+            sample.result = outcome.notSent() ? ArrivalResult::NotRun : ArrivalResult::Unknown;
+            sample.reason = outcome.notSent() ? "no connection" : "connection lost";
             return;
         }
         if (outcome.response.status == 200) {
