Queues whose tasks crash servers are confined to a quarter of the servers

Cause: each such job is known only after its second crash, and a server is away for three seconds: a limit for each task leaves more servers down than there are. Change: a start order names its queue, and a crash the queues of its suspects. A queue that is suspected of three separate crashes within 4 s, with a quarter of the service's servers down, most of the blame and at most half of the demand, may use only a quarter of the servers, the same at all entries, until 5 s after the last crash; other queues avoid these. Retries of suspects go there at any time, one task of a job first: its others wait until a suspect has completed.

--- a/src/adapters/dispatch_codec.cpp
+++ b/src/adapters/dispatch_codec.cpp
@@ -69,6 +69,7 @@
         wire::StartOrder *order = to.mutable_start();
         order->set_number(from.number);
         order->set_job(std::string(from.job.text()));
+        order->set_queue(from.queue.value());
         order->set_step(from.step);
         toWire(from.need, order->mutable_need());
         order->set_estimate_us(from.estimate.count());
@@ -114,6 +115,9 @@
             for (const TaskRef &task : crash.bystanders) {
                 toWire(RunRef{task, RunNumber()}, added->add_bystanders());
             }
+            for (const QueueKey queue : crash.suspectQueues) {
+                added->add_suspect_queues(queue.value());
+            }
         }
     }
 
@@ -217,6 +221,7 @@
     StartOrder order;
     order.number = from.number();
     order.job = decodeJobId(from.job());
+    order.queue = QueueKey(from.queue());
     order.step = from.step();
     order.need = decodeResources(from.need());
     order.estimate = Duration(from.estimate_us());
@@ -272,6 +277,9 @@
         for (const wire::Run &bystander : crash.bystanders()) {
             decoded.bystanders.push_back(decodeRunRef(bystander).task);
         }
+        for (const std::uint64_t queue : crash.suspect_queues()) {
+            decoded.suspectQueues.emplace_back(queue);
+        }
         report.crashes.push_back(std::move(decoded));
     }
     return report;
--- a/src/core/dispatch/agent_dispatch.cpp
+++ b/src/core/dispatch/agent_dispatch.cpp
@@ -111,6 +111,7 @@
     record.ref = ref;
     record.coordinator = from;
     record.need = order.need;
+    record.queue = order.queue;
     record.urgency = order.urgency;
     record.estimate = order.estimate;
     record.payload = order.payload;
--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -25,13 +25,16 @@
         runs.begin(), runs.end(), [](const RunRecord &run) { return !run.listed && run.state != RunRecord::State::Starting; });
     const std::vector<RunRecord>::iterator suspectsEnd = firstBystander == runs.begin() ? runs.end() : firstBystander;
     ServerCrash crash;
+    std::set<QueueKey> queues;
     for (std::vector<RunRecord>::const_iterator it = runs.begin(); it != runs.end(); ++it) {
         if (it < suspectsEnd) {
             crash.suspects.push_back(it->ref.task);
+            queues.insert(it->queue);
         } else {
             crash.bystanders.push_back(it->ref.task);
         }
     }
+    crash.suspectQueues.assign(queues.begin(), queues.end());
     return crash;
 }
 
--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -234,6 +234,7 @@
         state.tasks.resize(step.count, task);
         job.steps.push_back(std::move(state));
     }
+    m_isolation.recordDemand(now, queue->service, queueKey(queue->name), coreSeconds(job));
     if (m_loadShedding.shouldShed(now, queue->name, queue->urgency, coreSeconds(job), m_fleet.backlog(queue->service, now))) {
         refuse(now, client, id, *queue, "shed");
         return;
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -8,6 +8,7 @@
 #include "core/dispatch/latency_histogram.h"
 #include "core/dispatch/load_shedding.h"
 #include "core/dispatch/placement.h"
+#include "core/dispatch/queue_isolation.h"
 #include "core/dispatch/run_time_estimate.h"
 
 #include <deque>
@@ -92,6 +93,7 @@
     std::uint64_t connectionsReplaced = 0;
     std::uint64_t configsFromPeers = 0;
     std::uint64_t crashingJobs = 0; ///< Submissions that failed because servers crashed under a task of the job.
+    std::uint64_t queuesIsolated = 0; ///< Times that a queue was confined to the isolation servers.
 };
 
 /// Coordinates the jobs that clients submit to this entry: admits or refuses them, assigns their tasks to agents, restarts slow
@@ -293,9 +295,14 @@
     const Endpoint *remoteCoordinator(TimePoint now, const JobId &id) const;
     void refuse(TimePoint now, ClientTag client, const JobId &id, const QueueRule &queue, const char *reason);
     /// Records a crash of a server, and ends the jobs of which a task is now suspected of too many.
-    void handleServerCrash(TimePoint now, const ProcessId &agent, const ServerCrash &crash);
+    void handleServerCrash(TimePoint now, const ProcessId &agent, const std::string &service, const ServerCrash &crash);
     /// Answers the client of a job that has crashed too many servers. Returns false for other jobs.
     bool refuseCrashingJob(ClientTag client, const JobId &id, const QueueRule &queue);
+    /// The waiting tasks of a step that may be placed now. The tasks of a job are alike: after a crash of which one of them is
+    /// suspected, one suspect is tried first, and the others wait until a suspect has completed.
+    std::vector<std::uint32_t> tasksToPlace(const Job &job, std::uint32_t stepIndex) const;
+    /// Which servers these tasks of a step may use.
+    Isolation isolationOf(TimePoint now, const Job &job, std::uint32_t stepIndex, const std::vector<std::uint32_t> &tasks) const;
 
     EntrySettings m_settings;
     LinkPort &m_links;
@@ -306,6 +313,7 @@
     FleetView m_fleet;
     EarliestFinish m_placement;
     CrashHistory m_crashes;
+    QueueIsolation m_isolation;
     LoadShedding m_loadShedding;
     CpuOverloadDetector m_cpuOverload;
     std::map<Endpoint, EntryPeer> m_entries;
--- a/src/core/dispatch/entry_peers.cpp
+++ b/src/core/dispatch/entry_peers.cpp
@@ -60,7 +60,7 @@
         agent.eventsSeen = report.oldestEvent - 1;
     }
     for (const ServerCrash &crash : report.crashes) {
-        handleServerCrash(now, envelope.from, crash);
+        handleServerCrash(now, envelope.from, report.service, crash);
     }
     for (const RunEvent &event : report.events) {
         if (event.number != agent.eventsSeen + 1) {
--- a/src/core/dispatch/entry_runs.cpp
+++ b/src/core/dispatch/entry_runs.cpp
@@ -42,7 +42,7 @@
 {
     StepState &step = job.steps[stepIndex];
     const StepSpec &spec = job.spec->steps[stepIndex];
-    std::vector<std::uint32_t> waiting;
+    const std::vector<std::uint32_t> waiting = tasksToPlace(job, stepIndex);
     PlacementRequest request;
     request.service = job.queue->service;
     request.domain = m_settings.domain;
@@ -52,12 +52,11 @@
     request.requiredLabel = spec.requiredLabel;
     request.preferredRack = spec.preferredRack;
     request.maxPerServer = spec.maxPerServer;
-    for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
-        const TaskState &task = step.tasks[i];
-        if (task.phase == TaskState::Phase::Waiting) {
-            waiting.push_back(i);
-            request.avoid.insert(request.avoid.end(), task.avoid.begin(), task.avoid.end());
-        }
+    for (const std::uint32_t i : waiting) {
+        const std::vector<Endpoint> &avoid = step.tasks[i].avoid;
+        request.avoid.insert(request.avoid.end(), avoid.begin(), avoid.end());
+    }
+    for (const TaskState &task : step.tasks) {
         if (task.isOutstanding() || task.phase == TaskState::Phase::Done) {
             ++request.stepTasksByAgent[task.agent];
         }
@@ -69,6 +68,10 @@
         job.reason = "cut-off";
         return false;
     }
+    request.isolation = isolationOf(now, job, stepIndex, waiting);
+    if (request.isolation != Isolation::None) {
+        request.isolationServers = isolationServers(m_fleet, job.queue->service);
+    }
     request.urgency = job.queue->urgency;
     request.tasks = static_cast<std::uint32_t>(waiting.size());
     const std::vector<Placement> places = m_placement.place(m_fleet, request, now);
@@ -135,6 +138,7 @@
     StartOrder start;
     start.number = ++agent.lastOrder;
     start.job = job.id;
+    start.queue = queueKey(job.queue->name);
     start.step = stepIndex;
     start.need = job.spec->steps[stepIndex].need;
     start.urgency = job.queue->urgency;
--- a/src/core/dispatch/messages.h
+++ b/src/core/dispatch/messages.h
@@ -28,6 +28,7 @@
 {
     std::uint64_t number = 0; ///< Sequence number of the orders of this entry to this agent.
     JobId job;
+    QueueKey queue;
     std::uint32_t step = 0;
     Resources need;
     std::uint32_t urgency = 0; ///< Priority of the queue; 0 is the most urgent.
@@ -69,6 +70,7 @@
     std::uint64_t number = 0; ///< Sequence number of the crashes that this incarnation of the agent has noticed.
     std::vector<TaskRef> suspects; ///< Tasks whose runs had just been started: one of them has probably caused it.
     std::vector<TaskRef> bystanders; ///< The other tasks that had a run on the server.
+    std::vector<QueueKey> suspectQueues; ///< The queues of the suspects, each once.
 };
 
 /// An entry, as others name it.
--- a/src/core/dispatch/placement.cpp
+++ b/src/core/dispatch/placement.cpp
@@ -62,13 +62,19 @@
             || !request.need.fits(agent.load.capacity)) {
             continue;
         }
+        const bool isolationServer = request.isolationServers.count(item.first) > 0;
+        if (request.isolation == Isolation::Confined && !isolationServer) {
+            continue;
+        }
+        const bool misplaced = (request.isolation == Isolation::Outside && isolationServer)
+            || (request.isolation == Isolation::Preferred && !isolationServer);
         Candidate candidate;
         candidate.agent = &agent;
         candidate.run = runTime(agent, request, now);
         candidate.roundTrip = agent.session.roundTrip(now);
         candidate.free = agent.availableFor(request.timeToObjective - candidate.run - candidate.roundTrip, request.urgency, now);
         candidate.stepTasks = countFor(request.stepTasksByAgent, item.first);
-        candidate.avoided = std::find(request.avoid.begin(), request.avoid.end(), item.first) != request.avoid.end();
+        candidate.avoided = misplaced || std::find(request.avoid.begin(), request.avoid.end(), item.first) != request.avoid.end();
         // On probation a server gets one run, of this entry if its own runs showed the fault, otherwise of all entries.
         const bool idle = agent.load.onProbation ? agent.load.free == agent.load.capacity && agent.unreportedOrders.empty()
                                                  : agent.outstandingRuns == 0;
--- a/src/core/dispatch/placement.h
+++ b/src/core/dispatch/placement.h
@@ -3,9 +3,19 @@
 
 #include "core/dispatch/fleet_view.h"
 
+#include <set>
+
 namespace cuminscale::dispatch
 {
 
+/// Which servers a step may use while tasks crash servers; see QueueIsolation.
+enum class Isolation : std::uint8_t {
+    None,
+    Outside, ///< Not the isolation servers, unless there are no others.
+    Preferred, ///< The isolation servers, unless none of them is usable.
+    Confined, ///< Only the isolation servers.
+};
+
 /// The waiting tasks of one step, with their constraints.
 struct PlacementRequest
 {
@@ -20,6 +30,8 @@
     std::uint32_t urgency = 0; ///< Of the queue; 0 is the most urgent.
     std::uint32_t tasks = 1;
     std::vector<Endpoint> avoid; ///< Agents on which a run of these tasks did not complete; used only if there are no others.
+    Isolation isolation = Isolation::None;
+    std::set<Endpoint> isolationServers; ///< Empty for Isolation::None.
     std::map<Endpoint, std::uint32_t> stepTasksByAgent; ///< Tasks of the same step, running or completed, for maxPerServer.
 };
 
--- a/src/core/dispatch/run_ledger.h
+++ b/src/core/dispatch/run_ledger.h
@@ -23,6 +23,7 @@
     RunRef ref;
     ProcessId coordinator; ///< Zero for a run that an earlier incarnation of the agent started.
     Resources need;
+    QueueKey queue;
     std::uint32_t urgency = 0;
     Duration estimate{0};
     std::shared_ptr<const std::string> payload;
--- a/src/core/dispatch/types.cpp
+++ b/src/core/dispatch/types.cpp
@@ -29,6 +29,15 @@
 
 } // namespace
 
+QueueKey queueKey(std::string_view name) noexcept
+{
+    std::size_t hash = name.size();
+    for (const char c : name) {
+        hash = combineHash(hash, static_cast<unsigned char>(c));
+    }
+    return QueueKey(hash);
+}
+
 std::optional<JobId> JobId::parse(std::string_view text) noexcept
 {
     if (text.size() != Digits) {
--- a/src/core/dispatch/types.h
+++ b/src/core/dispatch/types.h
@@ -42,6 +42,11 @@
     std::array<char, Digits> m_digits{};
 };
 
+/// Hash of a queue's name, the same in all processes.
+using QueueKey = StrongId<struct QueueKeyTag, std::uint64_t>;
+
+QueueKey queueKey(std::string_view name) noexcept;
+
 /// Identifies a task of a job.
 struct TaskRef
 {
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -152,6 +152,7 @@
         {"connections_replaced", counters.connectionsReplaced},
         {"configs_from_peers", counters.configsFromPeers},
         {"jobs_crashing_servers", counters.crashingJobs},
+        {"queues_isolated", counters.queuesIsolated},
         {"store_calls", m_store->calls()},
         {"store_failures", m_store->failures()},
         {"config_version", m_dispatch->config().version},
