An agent starts runs only on a capacity that this incarnation announced recently

Cause: a restart of the backend server that a poll shows left the capacity, and the labels, of the former incarnation in use until the new one announced itself. A new incarnation may be of another kind, so its first runs could exceed its capacity. Also, an agent that was paused, or whose server's announcements were lost while its polls were answered, started runs on a capacity of any age; one that has shrunk applies after 4.5 s.

Change: the capacity is valid until a time on the server's clock, counted from the clock in the announcement, and for the incarnation that announced it. Without a valid capacity the agent does not accept orders, and a start request names no later start deadline than the end of the validity, so the server itself rejects a start that is delayed in transit. An announcement that arrives late counts from when it was sent.

Tried and dropped: a report to all entries also when the server is unreachable.

--- a/src/core/dispatch/agent_coordinators.cpp
+++ b/src/core/dispatch/agent_coordinators.cpp
@@ -205,7 +205,7 @@
     report.service = m_settings.service;
     report.domain = m_settings.domain;
     report.ordersSeen = coordinator.ordersSeen;
-    report.load.accepting = accepting();
+    report.load.accepting = accepting(now);
     report.load.draining = m_draining || m_shuttingDown;
     report.load.suspect = m_progress.suspect(now);
     report.load.onProbation = m_progress.onProbation();
--- a/src/core/dispatch/agent_dispatch.cpp
+++ b/src/core/dispatch/agent_dispatch.cpp
@@ -38,17 +38,22 @@
     }
 }
 
-bool AgentDispatch::accepting() const noexcept
+bool AgentDispatch::accepting(TimePoint now) const noexcept
 {
-    return m_serverIncarnation && m_reconciled && m_reachable && !m_draining && !m_shuttingDown;
+    return m_serverIncarnation && m_reconciled && m_reachable && !m_draining && !m_shuttingDown && capacityKnown(now);
 }
 
-RefusalReason AgentDispatch::refusalFor(const Resources &need) const noexcept
+bool AgentDispatch::capacityKnown(TimePoint now) const noexcept
+{
+    return m_capacityValidUntil && m_clock.known() && m_clock.lowerBound(now) < *m_capacityValidUntil;
+}
+
+RefusalReason AgentDispatch::refusalFor(TimePoint now, const Resources &need) const noexcept
 {
     if (m_draining || m_shuttingDown) {
         return RefusalReason::Draining;
     }
-    if (!m_serverIncarnation || !m_reconciled) {
+    if (!m_serverIncarnation || !m_reconciled || !capacityKnown(now)) {
         return RefusalReason::NoServer;
     }
     if (!m_reachable) {
@@ -106,7 +111,7 @@
         queueEvent(now, from.endpoint, event, false);
         return;
     }
-    const RefusalReason reason = existing != nullptr ? RefusalReason::Duplicate : refusalFor(order.need);
+    const RefusalReason reason = existing != nullptr ? RefusalReason::Duplicate : refusalFor(now, order.need);
     RunRecord record;
     record.ref = ref;
     record.coordinator = from;
@@ -161,7 +166,7 @@
 
 void AgentDispatch::startQueuedRuns(TimePoint now)
 {
-    while (accepting() && m_clock.known() && m_startsInFlight < m_settings.timing.maxStartsInFlight) {
+    while (accepting(now) && m_startsInFlight < m_settings.timing.maxStartsInFlight) {
         RunRecord *record = m_ledger.nextWaiting(now);
         if (record == nullptr) {
             return;
@@ -195,6 +200,7 @@
 void AgentDispatch::sendStart(TimePoint now, RunRecord &record)
 {
     record.notAfter = ServerTime(m_clock.lowerBound(now).value() + toMs(m_settings.timing.startValidity));
+    record.notAfter = std::min(record.notAfter, *m_capacityValidUntil);
     m_leaseUntil = std::max(m_leaseUntil, record.notAfter);
     record.startSentAt = now;
     ++record.startAttempts;
@@ -213,7 +219,7 @@
         unanswered = unanswered || overdue;
         const bool mayRetransmit = !record.stopRequested && !record.serverRestarted && coordinatorAlive(now, record.coordinator);
         if (overdue && mayRetransmit && record.startAttempts < m_settings.timing.maxStartAttempts && m_serverIncarnation
-            && m_clock.known()) {
+            && capacityKnown(now)) {
             ++m_counters.startsRepeated;
             sendStart(now, record);
         }
--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -43,6 +43,9 @@
     Duration progressCheckInterval = milliseconds(45); ///< Interval of checks whether the server stands still.
     Duration probeInterval = milliseconds(500); ///< Interval between polls of a server that refused a connection.
     Duration announcementTimeout = milliseconds(4500); ///< Three announcement intervals.
+    /// An announced capacity is used for this long. The platform lets a capacity that has shrunk apply after 4.5 s, and the
+    /// server's clock, which measures this time, may run 2% slow.
+    Duration capacityValidity = milliseconds(4400);
     Duration entryLiveness = seconds(2); ///< An entry that is silent for longer is replaced by another one.
     /// Interval of reports to entries that the agent would be attached to if they answered.
     Duration entryProbeInterval = seconds(1);
@@ -219,7 +222,9 @@
     void checkCoordinators(TimePoint now);
     /// Raises the fencing token, and schedules a poll that carries the new one to the server.
     void raiseToken(TimePoint now, const char *cause);
-    bool accepting() const noexcept;
+    bool accepting(TimePoint now) const noexcept;
+    /// Whether this incarnation of the server has announced its capacity recently enough to rely on it.
+    bool capacityKnown(TimePoint now) const noexcept;
     /// Queues an event for a coordinator. The report with it is due at once if the event is urgent, otherwise
     /// after eventBatchDelay.
     void queueEvent(TimePoint now, const Endpoint &to, RunEvent event, bool urgent);
@@ -231,7 +236,7 @@
     /// Starts queued runs as resources allow, then sends the reports that are due.
     void startAndReport(TimePoint now);
     void sendConfig(TimePoint now, const Endpoint &to, Coordinator &coordinator);
-    RefusalReason refusalFor(const Resources &need) const noexcept;
+    RefusalReason refusalFor(TimePoint now, const Resources &need) const noexcept;
 
     AgentSettings m_settings;
     ServerPort &m_server;
@@ -254,6 +259,8 @@
     std::optional<ServerIncarnation> m_serverIncarnation; ///< Empty before the first announcement and after the server has left.
     std::uint64_t m_announcementSequence = 0;
     TimePoint m_announcedAt;
+    /// Until when the announced capacity may be used, on the server's clock; empty until this incarnation has announced it.
+    std::optional<ServerTime> m_capacityValidUntil;
     bool m_draining = false;
     std::vector<std::string> m_labels;
     ServerClock m_clock;
--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -72,6 +72,7 @@
     m_announcementSequence = announcement.sequence;
     m_announcedAt = now;
     m_ledger.setCapacity(announcement.capacity);
+    m_capacityValidUntil = ServerTime(announcement.clock.value() + toMs(m_settings.timing.capacityValidity));
     m_labels = announcement.labels;
     if (!m_reachable) {
         m_reachable = true;
@@ -113,6 +114,7 @@
     m_clock.reset();
     m_leaseUntil = ServerTime();
     m_announcementSequence = 0;
+    m_capacityValidUntil.reset();
     m_endsSeen = 0;
     m_endsUnacknowledged = false;
     m_reconciled = false;
@@ -510,6 +512,13 @@
         refuseQueuedRuns(now, RefusalReason::Unreachable);
         m_nextPollAt = now;
     }
+    if (m_capacityValidUntil && m_reachable && m_clock.known() && !capacityKnown(now)) {
+        m_capacityValidUntil.reset();
+        m_log.write(LogLevel::Warning, "capacity-outdated",
+                    "id=" + m_serverIncarnation->id + " silent_ms=" + ms(now - m_announcedAt));
+        refuseQueuedRuns(now, RefusalReason::NoServer);
+        reportToAll(now);
+    }
     if (m_pollInFlight && now > m_pollDeadline && m_ledger.booked() > 0) {
         // A late response to this poll is ignored, because the next poll has a higher number.
         m_pollFailedAt = now;
--- a/tests/agent_dispatch_tests.cpp
+++ b/tests/agent_dispatch_tests.cpp
@@ -63,17 +63,8 @@
     AgentFixture()
         : agent(settings(), server, links, log, now)
     {
-        ServerAnnouncement announcement;
-        announcement.incarnation = ServerIncarnation{"s", 1};
-        announcement.service = "svc";
-        announcement.sequence = 1;
-        announcement.capacity = Resources{12000, 1000, 0};
-        announcement.clock = ServerTime(5000);
-        agent.onAnnouncement(now, announcement);
-        Inventory inventory;
-        inventory.startTimeMs = 1;
-        inventory.clock = ServerTime(5000);
-        agent.onPollAnswered(now, server.lastPollNumber, inventory, PollFailure::None);
+        announce(Resources{12000, 1000, 0});
+        answerPoll(1);
     }
 
     static AgentSettings settings()
@@ -86,6 +77,44 @@
         return result;
     }
 
+    /// The server's clock: 5 s when the test begins.
+    ServerTime serverClock() const
+    {
+        return ServerTime(5000 + std::chrono::duration_cast<milliseconds>(now - TimePoint(seconds(100))).count());
+    }
+
+    ServerAnnouncement makeAnnouncement(const Resources &capacity, std::int64_t startTimeMs = 1)
+    {
+        ServerAnnouncement announcement;
+        announcement.incarnation = ServerIncarnation{"s", startTimeMs};
+        announcement.service = "svc";
+        announcement.sequence = ++lastAnnouncement;
+        announcement.capacity = capacity;
+        announcement.clock = serverClock();
+        return announcement;
+    }
+
+    void announce(const Resources &capacity, std::int64_t startTimeMs = 1)
+    {
+        agent.onAnnouncement(now, makeAnnouncement(capacity, startTimeMs));
+    }
+
+    /// Answers the last poll for the incarnation that started at this time, with the runs that it lists.
+    void answerPoll(std::int64_t startTimeMs, std::vector<ListedRun> running = {}, std::vector<FinishedRun> ended = {})
+    {
+        Inventory inventory;
+        inventory.startTimeMs = startTimeMs;
+        inventory.clock = serverClock();
+        inventory.running = std::move(running);
+        inventory.ended = std::move(ended);
+        agent.onPollAnswered(now, server.lastPollNumber, inventory, PollFailure::None);
+    }
+
+    const AgentReport &lastReport() const
+    {
+        return std::get<AgentReport>(links.lastEnvelopes.at(EntryAddress).message);
+    }
+
     void tickFor(Duration length)
     {
         const TimePoint end = now + length;
@@ -132,6 +161,7 @@
     DiscardingLog log;
     AgentDispatch agent;
     std::uint64_t lastOrderNumber = 0;
+    std::uint64_t lastAnnouncement = 0;
 };
 
 } // namespace
@@ -187,3 +217,60 @@
     REQUIRE(report.events.at(0).number > first);
     REQUIRE(report.oldestEvent == report.events.at(0).number);
 }
+
+TEST_CASE("After a restart that a poll has shown, nothing is started on the capacity of the former incarnation")
+{
+    // Scenario: a server restarts under its id with a smaller capacity. The poll is answered before its first announcement.
+    AgentFixture fixture;
+    fixture.tickFor(milliseconds(300));
+    fixture.receiveFromEntry(fixture.makeOrder("00000000000000b1", milliseconds(100), milliseconds(90), 1));
+    REQUIRE(fixture.server.starts.size() == 1);
+    fixture.tickFor(milliseconds(45));
+    fixture.answerPoll(2);
+    fixture.answerPoll(2);
+    REQUIRE(fixture.agent.ledger().records().empty());
+    fixture.receiveFromEntry(fixture.makeOrder("00000000000000b2", milliseconds(100), milliseconds(90), 1));
+    REQUIRE(fixture.server.starts.back().run.task.job == *JobId::parse("00000000000000b1"));
+    fixture.lastAnnouncement = 0;
+    fixture.announce(Resources{6000, 1000, 0}, 2);
+    fixture.receiveFromEntry(fixture.makeOrder("00000000000000b3", milliseconds(100), milliseconds(90), 3));
+    REQUIRE(fixture.agent.ledger().booked() == 2);
+}
+
+TEST_CASE("A capacity that was announced too long ago is not used")
+{
+    // Scenario: the capacity of a server shrinks while its agent is paused. The order arrives before the next announcement.
+    AgentFixture fixture;
+    fixture.tickFor(milliseconds(300));
+    fixture.now += seconds(5);
+    SECTION("without another announcement")
+    {
+        fixture.receiveFromEntry(fixture.makeOrder("00000000000000b4", milliseconds(100), milliseconds(90), 1));
+        REQUIRE(fixture.server.starts.empty());
+        REQUIRE(fixture.agent.ledger().records().empty());
+    }
+    SECTION("with an announcement that was delayed for as long")
+    {
+        ServerAnnouncement late = fixture.makeAnnouncement(Resources{12000, 1000, 0});
+        late.clock = ServerTime(5400);
+        fixture.agent.onAnnouncement(fixture.now, late);
+        fixture.answerPoll(1);
+        fixture.receiveFromEntry(fixture.makeOrder("00000000000000b4", milliseconds(100), milliseconds(90), 1));
+        REQUIRE(fixture.server.starts.empty());
+    }
+    // Nothing is wrong with the server: it gets work again as soon as it says its capacity.
+    fixture.announce(Resources{3000, 1000, 0});
+    fixture.answerPoll(1);
+    fixture.receiveFromEntry(fixture.makeOrder("00000000000000b5", milliseconds(100), milliseconds(90), 2));
+    REQUIRE(fixture.server.starts.size() == 1);
+}
+
+TEST_CASE("A start request can't take effect after the capacity that it relies on has become too old")
+{
+    AgentFixture fixture;
+    fixture.tickFor(milliseconds(300));
+    fixture.now = TimePoint(seconds(100)) + milliseconds(4200);
+    fixture.receiveFromEntry(fixture.makeOrder("00000000000000b6", milliseconds(100), milliseconds(90), 1));
+    REQUIRE(fixture.server.starts.size() == 1);
+    REQUIRE(fixture.server.starts[0].notAfter <= ServerTime(5000 + 4500));
+}
