An agent hands back queued runs that a shrunk capacity can't hold

Cause: the capacity of a server may shrink while it runs. A queued run that needs more than the new capacity waited until its start deadline, up to the client's deadline, and as the head of the queue kept the runs behind it waiting though they fit. Ruled out: starts above the shrunk capacity; the ledger compares each new run with what is booked, which includes runs that are being stopped or in unknown state.

Change: an announcement whose capacity a queued run exceeds refuses that run as no-room, so its entry places it elsewhere. The two loops that refuse queued runs share one function.

--- a/src/core/dispatch/agent_dispatch.cpp
+++ b/src/core/dispatch/agent_dispatch.cpp
@@ -232,27 +232,23 @@
 
 void AgentDispatch::refuseExpiredRuns(TimePoint now)
 {
-    std::vector<RunRecord> expired;
-    for (const RunLedger::Records::value_type &entry : m_ledger.records()) {
-        if (entry.second.state == RunRecord::State::Queued && entry.second.startBy < now) {
-            expired.push_back(entry.second);
-        }
-    }
-    for (const RunRecord &record : expired) {
-        m_ledger.remove(record.ref.task);
-        refuseRun(now, record, RefusalReason::Expired);
-    }
+    refuseQueuedRuns(now, RefusalReason::Expired, [now](const RunRecord &record) { return record.startBy < now; });
 }
 
 void AgentDispatch::refuseQueuedRuns(TimePoint now, RefusalReason reason)
 {
-    std::vector<RunRecord> waiting;
+    refuseQueuedRuns(now, reason, [](const RunRecord &) { return true; });
+}
+
+void AgentDispatch::refuseQueuedRuns(TimePoint now, RefusalReason reason, const std::function<bool(const RunRecord &)> &which)
+{
+    std::vector<RunRecord> refused;
     for (const RunLedger::Records::value_type &entry : m_ledger.records()) {
-        if (entry.second.state == RunRecord::State::Queued) {
-            waiting.push_back(entry.second);
+        if (entry.second.state == RunRecord::State::Queued && which(entry.second)) {
+            refused.push_back(entry.second);
         }
     }
-    for (const RunRecord &record : waiting) {
+    for (const RunRecord &record : refused) {
         m_ledger.remove(record.ref.task);
         refuseRun(now, record, reason);
     }
--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -11,6 +11,7 @@
 #include "core/dispatch/server_progress.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 
 namespace cuminscale::dispatch
@@ -201,6 +202,8 @@
     void sendStart(TimePoint now, RunRecord &record);
     void retransmitStarts(TimePoint now);
     void refuseQueuedRuns(TimePoint now, RefusalReason reason);
+    /// Refuses the queued runs for which `which` returns true.
+    void refuseQueuedRuns(TimePoint now, RefusalReason reason, const std::function<bool(const RunRecord &)> &which);
     void refuseRun(TimePoint now, const RunRecord &record, RefusalReason reason);
     void recordEnd(TimePoint now, RunRecord &record, RunEnd outcome, RefusalReason reason, bool serverUnresponsive);
     void requestStop(TimePoint now, RunRecord &record);
--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -86,6 +86,9 @@
         }
         reportToAll(now);
     }
+    // They could not start even on an idle server, and would keep the runs behind them waiting.
+    refuseQueuedRuns(now, RefusalReason::NoRoom,
+                     [this](const RunRecord &record) { return !record.need.fits(m_ledger.capacity()); });
     if (!m_reconciled && !m_pollInFlight) {
         pollServer(now, false);
     }
--- a/tests/agent_dispatch_tests.cpp
+++ b/tests/agent_dispatch_tests.cpp
@@ -274,3 +274,38 @@
     REQUIRE(fixture.server.starts.size() == 1);
     REQUIRE(fixture.server.starts[0].notAfter <= ServerTime(5000 + 4500));
 }
+
+TEST_CASE("Queued runs that exceed a capacity that has shrunk do not wait, nor keep runs behind them waiting")
+{
+    AgentFixture fixture;
+    fixture.tickFor(milliseconds(300));
+    fixture.receiveFromEntry(fixture.makeOrder("00000000000000c1", milliseconds(400), milliseconds(90), 4));
+    StartOrder large = fixture.makeOrder("00000000000000c2", milliseconds(100), milliseconds(20), 1);
+    large.need = Resources{8000, 10, 0};
+    fixture.receiveFromEntry(std::move(large));
+    fixture.receiveFromEntry(fixture.makeOrder("00000000000000c3", milliseconds(100), milliseconds(90), 1));
+    REQUIRE(fixture.agent.ledger().waiting() == 2);
+    fixture.announce(Resources{6000, 1000, 0});
+    REQUIRE_FALSE(fixture.lastReport().events.empty());
+    const RunEvent handedBack = fixture.lastReport().events.back();
+    REQUIRE(handedBack.run.task.job == *JobId::parse("00000000000000c2"));
+    REQUIRE(handedBack.end == RunEnd::NeverStarted);
+    REQUIRE(handedBack.reason == RefusalReason::NoRoom);
+    // The other one starts once what runs fits with it: three of the four runs have to end.
+    for (std::uint64_t n = 1; n <= 4; ++n) {
+        const RunStart start = fixture.server.starts.at(n - 1);
+        fixture.agent.onStartAnswered(fixture.now, start.run, StartAnswer::Accepted, fixture.serverClock());
+    }
+    std::vector<FinishedRun> ended;
+    for (std::uint64_t n = 1; n <= 3; ++n) {
+        REQUIRE(fixture.server.starts.size() == 4);
+        ended.push_back(FinishedRun{n, fixture.server.starts.at(n - 1).run, RunEnd::Done});
+        std::vector<ListedRun> running;
+        for (std::size_t i = n; i < 4; ++i) {
+            running.push_back(ListedRun{fixture.server.starts.at(i).run});
+        }
+        fixture.answerPoll(1, std::move(running), ended);
+    }
+    REQUIRE(fixture.server.starts.size() == 5);
+    REQUIRE(fixture.server.starts.back().run.task.job == *JobId::parse("00000000000000c3"));
+}
