An agent reports a changed capacity to its entries at once

Cause: the entries learned of a capacity that had shrunk or grown with the next heartbeat, up to 200 ms later, and placed jobs on capacity that was gone, or left new capacity idle.

Change: an announcement that changes the capacity is followed by a report to all entries, as a change of draining is; after the queued runs that fit have been started, so that the report does not offer capacity that they take.

--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -234,7 +234,7 @@
     /// Sends the load and the new events; with `retransmit`, also the unacknowledged events that were sent before.
     void sendReport(TimePoint now, const Endpoint &to, Coordinator &coordinator, bool retransmit, bool detached = false);
     void sendDueReports(TimePoint now);
-    /// Sends a report to each entry that gets reports, because the server has become usable or has stopped being so.
+    /// Sends a report to each entry that gets reports, because the use that can be made of the server has changed.
     void reportToAll(TimePoint now);
     /// Starts queued runs as resources allow, then sends the reports that are due.
     void startAndReport(TimePoint now);
--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -71,6 +71,7 @@
     }
     m_announcementSequence = announcement.sequence;
     m_announcedAt = now;
+    const bool capacityChanged = announcement.capacity != m_ledger.capacity();
     m_ledger.setCapacity(announcement.capacity);
     m_capacityValidUntil = ServerTime(announcement.clock.value() + toMs(m_settings.timing.capacityValidity));
     m_labels = announcement.labels;
@@ -92,7 +93,11 @@
     if (!m_reconciled && !m_pollInFlight) {
         pollServer(now, false);
     }
-    startAndReport(now);
+    startQueuedRuns(now);
+    if (capacityChanged) {
+        reportToAll(now);
+    }
+    sendDueReports(now);
     return true;
 }
 
--- a/tests/agent_dispatch_tests.cpp
+++ b/tests/agent_dispatch_tests.cpp
@@ -115,6 +115,11 @@
         return std::get<AgentReport>(links.lastEnvelopes.at(EntryAddress).message);
     }
 
+    TimePoint lastReportAt() const
+    {
+        return links.lastEnvelopes.at(EntryAddress).sentAt;
+    }
+
     void tickFor(Duration length)
     {
         const TimePoint end = now + length;
@@ -309,3 +314,25 @@
     REQUIRE(fixture.server.starts.size() == 5);
     REQUIRE(fixture.server.starts.back().run.task.job == *JobId::parse("00000000000000c3"));
 }
+
+TEST_CASE("Entries learn of a changed capacity at once")
+{
+    // Load pattern: jobs arrive several times within a heartbeat, so that an entry would place them on capacity that is gone.
+    AgentFixture fixture;
+    fixture.tickFor(milliseconds(300));
+    const Resources shrunk{4000, 500, 0};
+    fixture.announce(shrunk);
+    REQUIRE(fixture.lastReport().load.capacity == shrunk);
+    StartOrder order = fixture.makeOrder("00000000000000c4", milliseconds(100), milliseconds(90), 2);
+    fixture.receiveFromEntry(std::move(order));
+    REQUIRE(fixture.agent.ledger().waiting() == 1);
+    const Resources grown{12000, 1000, 0};
+    fixture.announce(grown);
+    REQUIRE(fixture.lastReport().load.capacity == grown);
+    // The queued run has started on the capacity that was added.
+    REQUIRE(fixture.lastReport().load.free.cpuMilli == 6000);
+    // An announcement that says nothing new is not passed on.
+    fixture.now += milliseconds(1);
+    fixture.announce(grown);
+    REQUIRE(fixture.lastReportAt() < fixture.now);
+}
