The expected wait counts the runs beyond a shrunk capacity

Cause: an entry took free CPU below zero for zero when it estimated the wait at a server, so at one whose 16 booked cores had shrunk to 8 a task of 4 cores seemed to start after 4 cores were released, not 12: the wait was estimated as 25 ms, not 75 ms.

Change: CPU that is booked beyond the capacity counts as work that ends first. Checked and left: the backlog already includes it, the cost of load grows with it, and a server with capacity 0 is no candidate.

Result: 'The expected wait at a server whose capacity has shrunk ...' failed before (0 available instead of -8000) and passes.

--- a/src/core/dispatch/fleet_view.cpp
+++ b/src/core/dispatch/fleet_view.cpp
@@ -29,6 +29,8 @@
         ahead += std::min(-available.cpuMilli, unreportedAhead);
         available.cpuMilli = 0;
     }
+    // Runs that a shrunk capacity does not hold end before anything else starts.
+    ahead += std::max<std::int64_t>(-load.free.cpuMilli, 0);
     available.cpuMilli -= ahead;
     return available;
 }
--- a/src/core/dispatch/fleet_view.h
+++ b/src/core/dispatch/fleet_view.h
@@ -52,11 +52,12 @@
 
     /// Resources available for a task that must start within `slack`: the reported free resources, less unreported orders and
     /// less queued work that starts earlier because it has less slack. Its CPU component is negative if such work already
-    /// has to wait. The capacity reserved for the most urgent work is not available to other work.
+    /// has to wait, or the capacity has shrunk below what is booked. The capacity reserved for the most urgent work is not
+    /// available to other work.
     Resources availableFor(Duration slack, std::uint32_t urgency, TimePoint now) const;
 
-    /// Expected waiting time of a task with the given available resources, assuming that CPU capacity is released at the
-    /// rate at which running work ends.
+    /// Expected waiting time of a task with the given available resources, assuming that each resource is released at the rate
+    /// at which running work ends.
     Duration expectedWait(const Resources &need, const Resources &free) const;
 
     /// CPU demand of queued tasks and unreported orders beyond the free capacity, in thousandths of a core; negative while
--- a/tests/placement_tests.cpp
+++ b/tests/placement_tests.cpp
@@ -137,3 +137,21 @@
     // No agent has reported for 1 s.
     REQUIRE(EarliestFinish().place(fleet, request(1), now() + seconds(1)).empty());
 }
+
+TEST_CASE("The expected wait at a server whose capacity has shrunk includes the runs beyond the new capacity")
+{
+    // Scenario: 16 cores are booked by runs of 100 ms, half done on average, and the capacity shrinks from 16 cores to 8.
+    FleetView fleet = makeFleet(1);
+    AgentView &agent = *fleet.find(Endpoint{1, 7000});
+    agent.load.capacity = Resources{8000, 1000, 0};
+    agent.load.free = Resources{-8000, 1000, 0};
+    agent.load.runningWork = 16000.0 * 50000.0;
+    const Resources need{4000, 10, 0};
+    const Resources available = agent.availableFor(milliseconds(50), MostUrgent, now());
+    REQUIRE(available.cpuMilli == -8000);
+    // 12 of the 16 cores have to be released.
+    REQUIRE(agent.expectedWait(need, available) == milliseconds(75));
+    // An order that the agent has not reported yet comes first.
+    agent.unreportedOrders.push_back(AgentView::UnreportedOrder{1, 2000, 10, 0, now()});
+    REQUIRE(agent.availableFor(milliseconds(50), MostUrgent, now()).cpuMilli == -10000);
+}
