The expected wait covers memory and accelerators as well as CPU

Cause: the wait at a server came from the missing CPU alone. One whose memory or accelerators were in use, or had shrunk below what is in use, was expected to start a task at once, so tasks were placed there although another server was idle.

Change: each resource is released at the rate at which runs end, as CPU was already; the one that takes longest counts. A resource other than CPU that only unreported orders use counts as in use.

Result: 'A server without free memory or accelerators ...' failed before in both cases (memory, accelerators): the task went to the server without room; it passes. dispatch_tests: 160 assertions pass.

--- a/src/core/dispatch/fleet_view.cpp
+++ b/src/core/dispatch/fleet_view.cpp
@@ -12,6 +12,12 @@
 /// An agent that has missed two heartbeats gets no new work.
 constexpr Duration AgentStaleTimeout = milliseconds(500);
 
+/// What is missing of a resource as a multiple of what is in use; 0 or less if nothing is missing.
+double missingShare(std::int64_t missing, std::int64_t used)
+{
+    return static_cast<double>(missing) / static_cast<double>(std::max<std::int64_t>(used, 1));
+}
+
 } // namespace
 
 Resources AgentView::availableFor(Duration slack, std::uint32_t urgency, TimePoint now) const
@@ -41,10 +47,13 @@
         return Duration(0);
     }
     // If all runs take about the time L, busy capacity B is released at the rate B / L, and the remaining work is B x L / 2.
-    const double busy = static_cast<double>(std::max<std::int64_t>(load.capacity.cpuMilli - load.free.cpuMilli, 1));
-    const double rate = busy * busy / (2.0 * std::max(load.runningWork, 1.0));
-    const double missing = static_cast<double>(std::max<std::int64_t>(need.cpuMilli - free.cpuMilli, 1));
-    return Duration(static_cast<std::int64_t>(missing / rate));
+    const std::int64_t bookedCpu = load.capacity.cpuMilli - load.free.cpuMilli;
+    const double runTime = 2.0 * std::max(load.runningWork, 1.0) / static_cast<double>(std::max<std::int64_t>(bookedCpu, 1));
+    const double waitedRuns =
+        std::max({missingShare(need.cpuMilli - free.cpuMilli, bookedCpu),
+                  missingShare(need.memoryMb - free.memoryMb, load.capacity.memoryMb - free.memoryMb),
+                  missingShare(need.accelerators - free.accelerators, load.capacity.accelerators - free.accelerators)});
+    return Duration(static_cast<std::int64_t>(waitedRuns * runTime));
 }
 
 std::int64_t AgentView::excessCpu() const
--- a/tests/placement_tests.cpp
+++ b/tests/placement_tests.cpp
@@ -155,3 +155,24 @@
     agent.unreportedOrders.push_back(AgentView::UnreportedOrder{1, 2000, 10, 0, now()});
     REQUIRE(agent.availableFor(milliseconds(50), MostUrgent, now()).cpuMilli == -10000);
 }
+
+TEST_CASE("A server without free memory or accelerators is not taken for one where a task starts at once")
+{
+    // Scenario: the memory, or the accelerators, of the server in the own failure domain have shrunk below what runs there use.
+    const Resources shrunk = GENERATE(Resources{16000, 500, 4}, Resources{16000, 1000, 1});
+    FleetView fleet = makeFleet(2);
+    AgentView &agent = *fleet.find(Endpoint{1, 7000});
+    agent.load.capacity = shrunk;
+    agent.load.free = shrunk;
+    agent.load.free -= Resources{4000, 700, 2};
+    agent.load.runningWork = 4000.0 * 50000.0;
+    fleet.find(Endpoint{2, 7000})->load.capacity.accelerators = 4;
+    fleet.find(Endpoint{2, 7000})->load.free.accelerators = 4;
+    PlacementRequest accelerated = request(1);
+    accelerated.need.accelerators = 1;
+    const std::vector<Placement> places = EarliestFinish().place(fleet, accelerated, now());
+    REQUIRE(addresses(places).count(2) == 1);
+    // 210 of the 700 MB in use have to be released, or both accelerators; all runs take 100 ms.
+    const Duration wait = agent.expectedWait(accelerated.need, agent.load.free);
+    REQUIRE(wait == (shrunk.memoryMb == 500 ? milliseconds(30) : milliseconds(100)));
+}
