A job with a step that no known server can hold is refused when it arrives

Cause: only the first steps of a job were placed on arrival. A job whose later step exceeded the capacity of every server, as it is after servers have shrunk, or required a label that none has, ran its earlier steps for nothing and was given up then.

Change: each step must fit the capacity and labels of some server that the entry knows for the service. Servers that accept no work at present count, since they may accept it again by then.

--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -217,6 +217,14 @@
         refuse(now, client, id, *queue, "too-many-jobs");
         return;
     }
+    // The servers for later steps may be busy or draining now, but a step that no server can hold would waste the earlier ones.
+    const bool servable = std::all_of(spec->steps.begin(), spec->steps.end(), [&](const StepSpec &step) {
+        return m_fleet.hasServerFor(queue->service, step.need, step.requiredLabel);
+    });
+    if (!servable) {
+        refuse(now, client, id, *queue, "no-server-fits");
+        return;
+    }
     Job job;
     job.id = id;
     job.queue = queue;
--- a/src/core/dispatch/fleet_view.cpp
+++ b/src/core/dispatch/fleet_view.cpp
@@ -101,6 +101,14 @@
     return agent.load.accepting && agent.service == service && agent.session.silence(now) < AgentStaleTimeout;
 }
 
+bool FleetView::hasServerFor(const std::string &service, const Resources &need, std::string_view requiredLabel) const
+{
+    return std::any_of(m_agents.begin(), m_agents.end(), [&](const Agents::value_type &item) {
+        const AgentView &agent = item.second;
+        return agent.service == service && need.fits(agent.load.capacity) && agent.hasLabel(requiredLabel);
+    });
+}
+
 std::string FleetView::summary(TimePoint now) const
 {
     std::size_t usable = 0;
--- a/src/core/dispatch/fleet_view.h
+++ b/src/core/dispatch/fleet_view.h
@@ -94,6 +94,9 @@
     /// Whether an agent of a service accepts work and has reported recently.
     static bool usable(const AgentView &agent, const std::string &service, TimePoint now);
 
+    /// Whether a server of a service, even one that does not accept work at present, has the label and the capacity for a task.
+    bool hasServerFor(const std::string &service, const Resources &need, std::string_view requiredLabel) const;
+
     std::size_t usableCount(TimePoint now) const;
 
     /// Excess CPU demand of a service as a fraction of the capacity of its usable servers; 0 while capacity is left.
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -360,3 +360,23 @@
     fixture.entry.onMessage(fixture.now, request);
     REQUIRE(fixture.links.messagesTo<dispatch::ConfigBlob>(OtherEntry.endpoint).size() == 1);
 }
+
+TEST_CASE("A job with a later step that no server can hold is refused before its first step runs")
+{
+    EntryFixture fixture;
+    std::shared_ptr<dispatch::JobSpec> spec = std::make_shared<dispatch::JobSpec>(*EntryFixture::makeSpec(milliseconds(50)));
+    StepSpec later = spec->steps.front();
+    later.after = {0};
+    SECTION("for lack of memory")
+    {
+        later.need.memoryMb = 65000;
+    }
+    SECTION("for lack of a label")
+    {
+        later.requiredLabel = "b";
+    }
+    spec->steps.push_back(later);
+    fixture.entry.submit(fixture.now, ClientTag(1), fixture.queue, Job1, spec, seconds(2));
+    REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).empty());
+    REQUIRE(fixture.clients.answers.at(1) == JobOutcome::NotRun);
+}
