The simulation changes the capacity of servers

Cause: capacities may shrink and grow while a server runs; the random tests of the dispatch kept them constant.

--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -26,6 +26,7 @@
     double lostMessageRate = 0; ///< Messages between entries and agents.
     /// Process kills and pauses, partitions, silent connections and server crashes, about one fault per second.
     bool processFaults = false;
+    bool capacityChanges = false; ///< With processFaults: servers also lose a part of their capacity for some seconds.
 };
 
 /// Jobs with the same distribution of size and run time, submitted to a queue of their own.
--- a/tests/dispatch_tests.cpp
+++ b/tests/dispatch_tests.cpp
@@ -96,6 +96,18 @@
     }
 }
 
+TEST_CASE("No start brings a server above its capacity while capacities shrink and grow and parts of the fleet fail")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        SimulationSettings settings = faultySettings(seed);
+        settings.faults.capacityChanges = true;
+        const SimulationResult result = runSimulation(settings, seconds(20));
+        requireNoViolations(result, seed);
+        INFO("seed " << seed << " succeeded " << result.succeeded << " of " << result.submitted);
+        REQUIRE(share(result.succeeded, result.submitted) > 0.4);
+    }
+}
+
 TEST_CASE("Invariants hold in a fleet whose agents report to a part of the entries, while parts of it fail")
 {
     for (std::uint64_t seed = 1; seed <= 6; ++seed) {
