An announcement by another program no longer replaces the server that answers

Cause: an agent took over any announcement for its service at once. One with another id and a far later start time ended the incarnation of the real server: leases of its runs were not renewed, the fencing token was raised, polls named an id that the server rejects, and every later announcement of the real server was ignored as one of a former life, for good. A wrong first announcement at the start of an agent did the same. Change: another incarnation than one that the server has confirmed is only a candidate. The agent polls the server under the id in use: it is replaced if the server rejects that id (421) or reports the candidate's start time, and stays if the server answers as itself. While the incarnation in use is not confirmed, or once the server has rejected it, its start time does not make other announcements count as outdated. Adopting an incarnation supersedes a poll that is in flight. Decision: no bound on plausible start times. The clocks of server and agent may differ, so a bound tight enough to exclude harm could lock out a real server; the server's own answers are the source of truth, and a wrong value costs one poll. A restart under another id is noticed one round trip later than before. Ruled out: to adopt at once and return to the former incarnation after a 421; starts in flight would be refused for the raised token.

--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -103,7 +103,8 @@
 
     void onMessage(TimePoint now, const Envelope &envelope);
 
-    /// Handles an announcement of a backend server. Returns false if it is for another service than the agent's.
+    /// Handles an announcement of a backend server, which other programs can send too: an incarnation in use is replaced only
+    /// once the server has confirmed the new one. Returns false if it is for another service than the agent's.
     bool onAnnouncement(TimePoint now, const ServerAnnouncement &announcement);
     /// Handles the deregistration of a backend server.
     void onServerLeft(TimePoint now, const std::string &serverId);
@@ -208,6 +209,14 @@
     void recordEnd(TimePoint now, RunRecord &record, RunEnd outcome, RefusalReason reason, bool serverUnresponsive);
     void requestStop(TimePoint now, RunRecord &record);
     void stopRunsOf(TimePoint now, const Endpoint &coordinator, const char *cause);
+    /// Handles an announcement of another incarnation than the one in use.
+    void handleOtherIncarnation(TimePoint now, const ServerAnnouncement &announcement);
+    /// Decides from the response to a poll whether m_announcedIncarnation runs at the server, and uses it if so. Returns whether
+    /// it does.
+    bool adoptAnnouncedIncarnation(TimePoint now, const std::optional<Inventory> &inventory, PollFailure failure);
+    void useIncarnation(TimePoint now, const ServerAnnouncement &announcement);
+    /// Takes over the state that the server reports of itself.
+    void applyAnnouncement(TimePoint now, const ServerAnnouncement &announcement);
     void endServerIncarnation(TimePoint now, const char *cause);
     /// Records the end of the backend server's process, once for each incarnation, and reports it with the tasks that may have
     /// caused it. To be called while the ledger still has the runs.
@@ -260,6 +269,12 @@
     ConfigBlob m_config;
 
     std::optional<ServerIncarnation> m_serverIncarnation; ///< Empty before the first announcement and after the server has left.
+    /// A response of the server has shown that m_serverIncarnation runs there. Until then, its start time may be wrong, and does
+    /// not make announcements of others count as outdated.
+    bool m_incarnationConfirmed = false;
+    /// Announcement of another incarnation, until a poll from m_announcedIncarnationPoll on shows which one runs.
+    std::optional<ServerAnnouncement> m_announcedIncarnation;
+    std::uint64_t m_announcedIncarnationPoll = 0;
     std::uint64_t m_announcementSequence = 0;
     TimePoint m_announcedAt;
     /// Until when the announced capacity may be used, on the server's clock; empty until this incarnation has announced it.
--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -46,26 +46,77 @@
         m_log.write(LogLevel::Warning, "announcement-ignored", "service=" + announcement.service + " reason=other-service");
         return false;
     }
-    const bool sameIncarnation = m_serverIncarnation && *m_serverIncarnation == announcement.incarnation;
-    if (m_serverIncarnation && announcement.incarnation.startTimeMs < m_serverIncarnation->startTimeMs) {
+    if (m_serverIncarnation && *m_serverIncarnation != announcement.incarnation) {
+        handleOtherIncarnation(now, announcement);
+    } else if (!m_serverIncarnation) {
+        useIncarnation(now, announcement);
+    } else if (announcement.sequence > m_announcementSequence) {
+        applyAnnouncement(now, announcement);
+    }
+    return true;
+}
+
+void AgentDispatch::handleOtherIncarnation(TimePoint now, const ServerAnnouncement &announcement)
+{
+    if (!m_incarnationConfirmed) {
+        useIncarnation(now, announcement);
+        return;
+    }
+    if (announcement.incarnation.startTimeMs < m_serverIncarnation->startTimeMs) {
         m_log.write(LogLevel::Warning, "announcement-ignored", "id=" + announcement.incarnation.id + " reason=former-life");
-        return true;
+        return;
     }
-    if (sameIncarnation && announcement.sequence <= m_announcementSequence) {
-        return true;
+    // Other programs can write announcements too, and a wrong one must not end the lease of the runs. Which incarnation runs is
+    // known from the server: it rejects a poll that names another id, and reports its start time.
+    const bool checked = m_announcedIncarnation && m_pollInFlight && m_pollNumber >= m_announcedIncarnationPoll;
+    m_announcedIncarnation = announcement;
+    if (!checked) {
+        m_announcedIncarnationPoll = m_pollNumber + 1;
+        pollServer(now, false);
     }
-    if (!sameIncarnation) {
-        if (m_serverIncarnation) {
-            recordCrash(now);
-            endServerIncarnation(now, "the backend server restarted");
-        }
-        m_serverIncarnation = announcement.incarnation;
-        m_draining = false;
-        m_endsSeen = 0;
-        m_reconciled = false;
-        m_log.write(LogLevel::Info, "server-life",
-                    "id=" + announcement.incarnation.id + " born_ms=" + std::to_string(announcement.incarnation.startTimeMs));
+}
+
+bool AgentDispatch::adoptAnnouncedIncarnation(TimePoint now, const std::optional<Inventory> &inventory, PollFailure failure)
+{
+    if (!inventory && failure != PollFailure::IncarnationMismatch) {
+        return false; // The next poll decides.
+    }
+    const ServerAnnouncement announced = *m_announcedIncarnation;
+    m_announcedIncarnation.reset();
+    bool runs = true;
+    if (inventory) {
+        const std::int64_t startTimeMs = inventory->startTimeMs;
+        const bool sameId = announced.incarnation.id == m_serverIncarnation->id;
+        runs = startTimeMs == 0 ? sameId : startTimeMs == announced.incarnation.startTimeMs;
+    }
+    if (!runs) {
+        m_log.write(LogLevel::Warning, "announcement-ignored",
+                    "id=" + announced.incarnation.id + " reason=another-server-answers");
+        return false;
     }
+    useIncarnation(now, announced);
+    return true;
+}
+
+void AgentDispatch::useIncarnation(TimePoint now, const ServerAnnouncement &announcement)
+{
+    if (m_serverIncarnation) {
+        recordCrash(now);
+        endServerIncarnation(now, "the backend server restarted");
+    }
+    m_serverIncarnation = announcement.incarnation;
+    m_draining = false;
+    m_endsSeen = 0;
+    m_reconciled = false;
+    // The response to a poll of the former incarnation is ignored, because the next poll has a higher number.
+    m_pollInFlight = false;
+    m_log.write(LogLevel::Info, "server-life",
+                "id=" + announcement.incarnation.id + " born_ms=" + std::to_string(announcement.incarnation.startTimeMs));
+    applyAnnouncement(now, announcement);
+}
+
+void AgentDispatch::applyAnnouncement(TimePoint now, const ServerAnnouncement &announcement)
+{
     if (!m_clock.known()) {
         m_clock.observe(announcement.clock, now);
     }
@@ -98,7 +149,6 @@
         reportToAll(now);
     }
     sendDueReports(now);
-    return true;
 }
 
 void AgentDispatch::onServerLeft(TimePoint now, const std::string &serverId)
@@ -121,6 +171,8 @@
                 "reason=\"" + std::string(cause) + "\" runs=" + std::to_string(m_ledger.booked()));
     m_clock.reset();
     m_leaseUntil = ServerTime();
+    m_incarnationConfirmed = false;
+    m_announcedIncarnation.reset();
     m_announcementSequence = 0;
     m_capacityValidUntil.reset();
     m_endsSeen = 0;
@@ -333,7 +385,11 @@
     if (!m_serverIncarnation) {
         return;
     }
+    if (m_announcedIncarnation && number >= m_announcedIncarnationPoll && adoptAnnouncedIncarnation(now, inventory, failure)) {
+        return;
+    }
     if (!inventory) {
+        m_incarnationConfirmed = m_incarnationConfirmed && failure != PollFailure::IncarnationMismatch;
         ++m_counters.pollsFailed;
         m_pollFailedAt = now;
         m_lastPollUnanswered = true;
@@ -360,11 +416,13 @@
         recordCrash(now);
         endServerIncarnation(now, "the backend server restarted");
         m_serverIncarnation->startTimeMs = inventory->startTimeMs;
+        m_incarnationConfirmed = true;
         m_clock.observe(inventory->clock, now);
         pollServer(now, false);
         sendDueReports(now);
         return;
     }
+    m_incarnationConfirmed = inventory->startTimeMs == m_serverIncarnation->startTimeMs;
     m_reachable = true;
     m_lastPollUnanswered = false;
     m_crashRecorded = false;
--- a/tests/agent_dispatch_tests.cpp
+++ b/tests/agent_dispatch_tests.cpp
@@ -65,6 +65,45 @@
     {
         announce(Resources{12000, 1000, 0});
         answerPoll(1);
+        lastAnsweredPoll = server.lastPollNumber;
+    }
+
+    void announce(const ServerIncarnation &incarnation, std::uint64_t sequence, bool draining = false)
+    {
+        ServerAnnouncement announcement = makeAnnouncement(Resources{12000, 1000, 0});
+        announcement.incarnation = incarnation;
+        announcement.sequence = sequence;
+        announcement.draining = draining;
+        agent.onAnnouncement(now, announcement);
+    }
+
+    /// Answers the outstanding polls as the given server does: it rejects those that name another one, and lists `running`.
+    void answerPolls(const ServerIncarnation &running, const std::vector<RunRef> &runs = {})
+    {
+        while (server.lastPollNumber != lastAnsweredPoll) {
+            lastAnsweredPoll = server.lastPollNumber;
+            const PollRequest poll = server.polls.back();
+            if (poll.server.id != running.id) {
+                agent.onPollAnswered(now, lastAnsweredPoll, std::nullopt, PollFailure::IncarnationMismatch);
+                continue;
+            }
+            Inventory inventory;
+            inventory.startTimeMs = running.startTimeMs;
+            inventory.clock = serverClock();
+            for (const RunRef &run : runs) {
+                inventory.running.push_back(ListedRun{run});
+            }
+            agent.onPollAnswered(now, lastAnsweredPoll, inventory, PollFailure::None);
+            if (poll.maxWait > Duration(0) || !runs.empty()) {
+                return; // The next poll is a long one, which waits for a run to end.
+            }
+        }
+    }
+
+    /// Whether the last report to the entry says that the agent takes orders.
+    bool reportsAccepting() const
+    {
+        return std::get<AgentReport>(links.lastEnvelopes.at(EntryAddress).message).load.accepting;
     }
 
     static AgentSettings settings()
@@ -167,8 +206,11 @@
     AgentDispatch agent;
     std::uint64_t lastOrderNumber = 0;
     std::uint64_t lastAnnouncement = 0;
+    std::uint64_t lastAnsweredPoll = 0;
 };
 
+constexpr std::int64_t FarFutureMs = 9'000'000'000'000'000'000;
+
 } // namespace
 
 TEST_CASE("An unanswered start request makes the agent poll the server, even if no other call is in progress")
@@ -336,3 +378,86 @@
     fixture.announce(grown);
     REQUIRE(fixture.lastReportAt() < fixture.now);
 }
+
+TEST_CASE("A report of another id that claims a far later start does not make the agent ignore its server for good")
+{
+    AgentFixture fixture;
+    const ServerIncarnation real{"s", 1};
+    fixture.announce(ServerIncarnation{"odd", FarFutureMs}, 1);
+    fixture.answerPolls(real);
+    for (std::uint64_t sequence = 2; sequence < 6; ++sequence) {
+        fixture.tickFor(milliseconds(1500));
+        fixture.announce(real, sequence);
+        fixture.answerPolls(real);
+    }
+    fixture.tickFor(milliseconds(300));
+    REQUIRE(fixture.reportsAccepting());
+    REQUIRE(fixture.server.polls.back().server == real);
+}
+
+TEST_CASE("A report with the server's id that claims a far later start does not make the agent ignore its server for good")
+{
+    AgentFixture fixture;
+    const ServerIncarnation real{"s", 1};
+    fixture.announce(ServerIncarnation{"s", FarFutureMs}, 1);
+    fixture.answerPolls(real);
+    fixture.announce(real, 2);
+    fixture.tickFor(milliseconds(300));
+    REQUIRE(fixture.reportsAccepting());
+    REQUIRE(fixture.server.polls.back().server == real);
+}
+
+TEST_CASE("A report of another server does not end the lease of the runs at the server that still answers")
+{
+    for (const ServerIncarnation &odd :
+         {ServerIncarnation{"odd", FarFutureMs}, ServerIncarnation{"odd", 0}, ServerIncarnation{"s", FarFutureMs}}) {
+        AgentFixture fixture;
+        const ServerIncarnation real{"s", 1};
+        fixture.tickFor(milliseconds(300));
+        fixture.receiveFromEntry(fixture.makeOrder("00000000000000aa", milliseconds(100), milliseconds(90), 1));
+        REQUIRE(fixture.server.starts.size() == 1);
+        const RunRef run = fixture.server.starts.at(0).run;
+        const FencingToken token = fixture.server.starts.at(0).token;
+        fixture.agent.onStartAnswered(fixture.now, run, StartAnswer::Accepted, ServerTime(5000));
+        fixture.answerPolls(real, {run});
+        fixture.announce(odd, 1);
+        for (int i = 0; i < 3; ++i) {
+            fixture.answerPolls(real, {run});
+            const PollRequest &poll = fixture.server.polls.back();
+            INFO(odd.id << " " << odd.startTimeMs);
+            REQUIRE(poll.server == real);
+            REQUIRE(poll.leaseUntil);
+            REQUIRE(poll.token == token);
+        }
+        REQUIRE(fixture.reportsAccepting());
+    }
+}
+
+TEST_CASE("A first report of another id does not make the agent ignore the server that answers")
+{
+    AgentFixture fixture;
+    const ServerIncarnation real{"r", 7};
+    fixture.agent.onServerLeft(fixture.now, "s");
+    fixture.announce(ServerIncarnation{"odd", FarFutureMs}, 1);
+    fixture.answerPolls(real);
+    fixture.announce(real, 1);
+    fixture.answerPolls(real);
+    fixture.tickFor(milliseconds(300));
+    REQUIRE(fixture.server.polls.back().server == real);
+}
+
+TEST_CASE("A server that restarted under another id is followed once it rejects a poll for the former one")
+{
+    AgentFixture fixture;
+    const ServerIncarnation restarted{"t", 2};
+    fixture.announce(restarted, 1);
+    fixture.answerPolls(restarted);
+    fixture.tickFor(milliseconds(300));
+    REQUIRE(fixture.server.polls.back().server == restarted);
+    // A report of the former life that was delayed changes nothing.
+    fixture.announce(ServerIncarnation{"s", 1}, 2);
+    fixture.answerPolls(restarted);
+    REQUIRE(fixture.server.polls.back().server == restarted);
+    fixture.tickFor(milliseconds(300));
+    REQUIRE(fixture.reportsAccepting());
+}
