One announcement with a huge sequence number no longer outdates all later ones

Cause: the agent kept the highest sequence number of an incarnation. After one announcement of another program with a huge one, those of the real server were ignored until it restarted: it stayed draining if the wrong one said so, and counted as silent after 4.5 s. Change: when no higher number has come for two announcement intervals (3 s), a lower number that is higher than the lower one before it is accepted, with a log line. Decision: no bound on plausible numbers, as their increment is not specified. Waiting for two rising numbers and for silence of the highest keeps delayed calls from undoing a newer announcement: while the server lives, higher numbers arrive in between. Until then (3 s to 4.5 s) the state of the wrong announcement stays in use. Result: build/tests/agent_dispatch_tests on with these tests: "One report with a huge sequence number ..." fails, "Delayed reports ..." passed. Both pass now.

--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -47,6 +47,9 @@
     /// An announced capacity is used for this long. The platform lets a capacity that has shrunk apply after 4.5 s, and the
     /// server's clock, which measures this time, may run 2% slow.
     Duration capacityValidity = milliseconds(4400);
+    /// After two announcement intervals without a higher sequence number, lower ones that rise show that the highest was not the
+    /// server's. Less than announcementTimeout, so that the server stays in use.
+    Duration sequenceTimeout = seconds(3);
     Duration entryLiveness = seconds(2); ///< An entry that is silent for longer is replaced by another one.
     /// Interval of reports to entries that the agent would be attached to if they answered.
     Duration entryProbeInterval = seconds(1);
@@ -214,6 +217,8 @@
     /// Decides from the response to a poll whether m_announcedIncarnation runs at the server, and uses it if so. Returns whether
     /// it does.
     bool adoptAnnouncedIncarnation(TimePoint now, const std::optional<Inventory> &inventory, PollFailure failure);
+    /// Whether an announcement is older than the latest one of its incarnation.
+    bool isOutdated(TimePoint now, const ServerAnnouncement &announcement);
     void useIncarnation(TimePoint now, const ServerAnnouncement &announcement);
     /// Takes over the state that the server reports of itself.
     void applyAnnouncement(TimePoint now, const ServerAnnouncement &announcement);
@@ -276,6 +281,7 @@
     std::optional<ServerAnnouncement> m_announcedIncarnation;
     std::uint64_t m_announcedIncarnationPoll = 0;
     std::uint64_t m_announcementSequence = 0;
+    std::optional<std::uint64_t> m_outdatedSequence; ///< Of the latest outdated announcement since the last one that was not.
     TimePoint m_announcedAt;
     /// Until when the announced capacity may be used, on the server's clock; empty until this incarnation has announced it.
     std::optional<ServerTime> m_capacityValidUntil;
--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -50,7 +50,7 @@
         handleOtherIncarnation(now, announcement);
     } else if (!m_serverIncarnation) {
         useIncarnation(now, announcement);
-    } else if (announcement.sequence > m_announcementSequence) {
+    } else if (!isOutdated(now, announcement)) {
         applyAnnouncement(now, announcement);
     }
     return true;
@@ -98,6 +98,22 @@
     return true;
 }
 
+bool AgentDispatch::isOutdated(TimePoint now, const ServerAnnouncement &announcement)
+{
+    if (announcement.sequence > m_announcementSequence) {
+        return false;
+    }
+    const bool rises = m_outdatedSequence && announcement.sequence > *m_outdatedSequence;
+    m_outdatedSequence = announcement.sequence;
+    if (!rises || now - m_announcedAt < m_settings.timing.sequenceTimeout) {
+        return true;
+    }
+    m_log.write(LogLevel::Warning, "sequence-reset",
+                "id=" + announcement.incarnation.id + " from=" + std::to_string(m_announcementSequence)
+                    + " to=" + std::to_string(announcement.sequence));
+    return false;
+}
+
 void AgentDispatch::useIncarnation(TimePoint now, const ServerAnnouncement &announcement)
 {
     if (m_serverIncarnation) {
@@ -121,6 +137,7 @@
         m_clock.observe(announcement.clock, now);
     }
     m_announcementSequence = announcement.sequence;
+    m_outdatedSequence.reset();
     m_announcedAt = now;
     const bool capacityChanged = announcement.capacity != m_ledger.capacity();
     m_ledger.setCapacity(announcement.capacity);
@@ -175,6 +192,7 @@
     m_announcedIncarnation.reset();
     m_announcementSequence = 0;
     m_capacityValidUntil.reset();
+    m_outdatedSequence.reset();
     m_endsSeen = 0;
     m_endsUnacknowledged = false;
     m_reconciled = false;
--- a/tests/agent_dispatch_tests.cpp
+++ b/tests/agent_dispatch_tests.cpp
@@ -461,3 +461,31 @@
     fixture.tickFor(milliseconds(300));
     REQUIRE(fixture.reportsAccepting());
 }
+
+TEST_CASE("One report with a huge sequence number does not make the agent ignore all later ones")
+{
+    AgentFixture fixture;
+    const ServerIncarnation real{"s", 1};
+    fixture.announce(real, UINT64_MAX, true);
+    for (std::uint64_t sequence = 2; sequence < 6; ++sequence) {
+        fixture.tickFor(milliseconds(1500));
+        fixture.announce(real, sequence);
+        fixture.answerPolls(real);
+    }
+    fixture.tickFor(milliseconds(300));
+    REQUIRE(fixture.reportsAccepting());
+}
+
+TEST_CASE("Delayed reports do not undo a newer one, even if the server has been silent since")
+{
+    AgentFixture fixture;
+    const ServerIncarnation real{"s", 1};
+    fixture.announce(real, 9, true);
+    fixture.announce(real, 8);
+    fixture.tickFor(seconds(4));
+    fixture.answerPolls(real);
+    fixture.announce(real, 8);
+    fixture.announce(real, 7);
+    fixture.tickFor(milliseconds(300));
+    REQUIRE_FALSE(fixture.reportsAccepting());
+}
