The fencing token no longer overflows at a server that rejects every token

Cause: each rejection doubles the increment, and the agent polls again at once. If another program has shown the server a token close to 2^63, the sum overflowed after 53 polls, which is undefined, and the agent polled at full speed for good. Change: tokens end at 2^62; a server that rejects that one is polled at the probe interval. Such a server can't be used until it restarts.

--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -242,6 +242,8 @@
     bool accepting(TimePoint now) const noexcept;
     /// Whether this incarnation of the server has announced its capacity recently enough to rely on it.
     bool capacityKnown(TimePoint now) const noexcept;
+    /// Raises the token by twice as much as the last time, because the server has rejected the current one.
+    void raiseTokenFurther(TimePoint now);
     /// Queues an event for a coordinator. The report with it is due at once if the event is urgent, otherwise
     /// after eventBatchDelay.
     void queueEvent(TimePoint now, const Endpoint &to, RunEvent event, bool urgent);
--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -15,6 +15,8 @@
 /// The first token derives from the wall clock, so it can be too low after the clock has been set back. Each rejection doubles
 /// the increment, up from this minimum, which is the size of a usual clock correction.
 constexpr std::int64_t MinTokenIncrementMs = 1000;
+/// Highest token. A server that has seen a higher one, from another program, can't be used until it restarts.
+constexpr FencingToken MaxToken(std::int64_t(1) << 62U);
 
 /// Sorts the tasks of a crashed server's runs by whether they may have caused the crash. A run that the server has listed as
 /// running has survived its start, so it is a suspect only if there is no other. The same holds for start requests that are still
@@ -251,11 +253,17 @@
 
 void AgentDispatch::raiseToken(TimePoint now, const char *cause)
 {
-    m_token = FencingToken(m_token.value() + m_tokenIncrement);
+    m_token = FencingToken(m_token.value() + std::min(m_tokenIncrement, MaxToken.value() - m_token.value()));
     m_log.write(LogLevel::Info, "token-raised", "token=" + std::to_string(m_token.value()) + " reason=\"" + cause + "\"");
     m_nextPollAt = now;
 }
 
+void AgentDispatch::raiseTokenFurther(TimePoint now)
+{
+    m_tokenIncrement = std::clamp(m_tokenIncrement * 2, MinTokenIncrementMs, MaxToken.value() / 2);
+    raiseToken(now, "the server has seen a higher one");
+}
+
 void AgentDispatch::onStartAnswered(TimePoint now, const RunRef &run, StartAnswer answer, std::optional<ServerTime> clock)
 {
     if (m_startsInFlight > 0) {
@@ -309,8 +317,7 @@
         requestStop(now, *record);
         break;
     case StartAnswer::StaleToken:
-        m_tokenIncrement = std::max<std::int64_t>(m_tokenIncrement * 2, MinTokenIncrementMs);
-        raiseToken(now, "the server has seen a higher one");
+        raiseTokenFurther(now);
         refused = RefusalReason::ServerUnhealthy;
         break;
     case StartAnswer::RunNumberUsed:
@@ -411,9 +418,8 @@
         ++m_counters.pollsFailed;
         m_pollFailedAt = now;
         m_lastPollUnanswered = true;
-        if (failure == PollFailure::StaleToken) {
-            m_tokenIncrement = std::max<std::int64_t>(m_tokenIncrement * 2, MinTokenIncrementMs);
-            raiseToken(now, "the server has seen a higher one");
+        if (failure == PollFailure::StaleToken && m_token < MaxToken) {
+            raiseTokenFurther(now);
             pollServer(now, false);
             return;
         }
--- a/tests/agent_dispatch_tests.cpp
+++ b/tests/agent_dispatch_tests.cpp
@@ -489,3 +489,21 @@
     fixture.tickFor(milliseconds(300));
     REQUIRE_FALSE(fixture.reportsAccepting());
 }
+
+TEST_CASE("A server that rejects every fencing token is not polled at full speed, and the token does not overflow")
+{
+    AgentFixture fixture;
+    fixture.agent.onServerLeft(fixture.now, "s");
+    fixture.announce(ServerIncarnation{"s", 2}, 1);
+    for (int i = 0; i < 1000 && fixture.server.lastPollNumber != fixture.lastAnsweredPoll; ++i) {
+        fixture.lastAnsweredPoll = fixture.server.lastPollNumber;
+        fixture.agent.onPollAnswered(fixture.now, fixture.lastAnsweredPoll, std::nullopt, PollFailure::StaleToken);
+        REQUIRE(fixture.server.polls.back().token > FencingToken(0));
+    }
+    REQUIRE(fixture.server.polls.size() < 100);
+    // The server has restarted and has seen no token.
+    fixture.tickFor(seconds(1));
+    fixture.answerPolls(ServerIncarnation{"s", 2});
+    fixture.tickFor(milliseconds(300));
+    REQUIRE(fixture.reportsAccepting());
+}
