Announcements with implausible numbers, ports or labels name no server to use

Cause: negative or huge capacities and clocks were taken over, up to the limits of 64 bits; lease times and sums over the fleet are calculated from them, where overflow is undefined. A missing address or one with port 70000, accelerators of a wrong type, and labels that are no strings were accepted, and labels had no limit although agents send them to all entries. An invalid announcement is logged, and refused with 400 as before. Found safe: bodies are parsed to a depth of 32 without recursion, no code of ours recurses over parsed values, and to_number() reports values that are not exact integers of 64 bits; a test with 4 MB of brackets shows it. An inventory with an odd row is still rejected as a whole: it has one author, and skipping a row could count a run as lost that is at work.

--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -109,6 +109,8 @@
     /// Handles an announcement of a backend server, which other programs can send too: an incarnation in use is replaced only
     /// once the server has confirmed the new one. Returns false if it is for another service than the agent's.
     bool onAnnouncement(TimePoint now, const ServerAnnouncement &announcement);
+    /// Logs that an announcement was ignored because a field is missing or invalid.
+    void onInvalidAnnouncement(const std::string &serverId);
     /// Handles the deregistration of a backend server.
     void onServerLeft(TimePoint now, const std::string &serverId);
 
--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -58,6 +58,11 @@
     return true;
 }
 
+void AgentDispatch::onInvalidAnnouncement(const std::string &serverId)
+{
+    m_log.write(LogLevel::Warning, "announcement-ignored", "id=" + serverId + " reason=invalid");
+}
+
 void AgentDispatch::handleOtherIncarnation(TimePoint now, const ServerAnnouncement &announcement)
 {
     if (!m_incarnationConfirmed) {
--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -198,6 +198,8 @@
     return condition();
 }
 
+constexpr std::size_t LargeBodyBytes = 4U << 20U;
+
 } // namespace
 
 TEST_CASE("Configuration routes are parsed into queue rules")
@@ -298,7 +300,7 @@
     REQUIRE(read->incarnation.startTimeMs == 77);
     REQUIRE(read->capacity.cpuMilli == 16000);
     REQUIRE(read->labels.size() == 2);
-    for (const char *field : {"service", "state", "seq", "clock_ms", "capacity"}) {
+    for (const char *field : {"service", "address", "state", "seq", "clock_ms", "capacity"}) {
         boost::json::object missing = boost::json::parse(good).as_object();
         missing.erase(field);
         REQUIRE_FALSE(parseAnnouncement("i-1", boost::json::serialize(missing)));
@@ -447,3 +449,143 @@
     client.listEntries();
     REQUIRE(runUntil(context, [&]() { return store.writeCount == 2; }));
 }
+
+TEST_CASE("An announcement with an implausible number, port or label names no server to use")
+{
+    const auto accepted = [](const std::string &id, const std::string &path, const std::string &value) {
+        boost::json::object body =
+            boost::json::parse(R"({"service":"svc","address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,"state":"ready",
+                "cold_ms":0,"capacity":{"cpu":16000,"mem_mb":1000,"gpu":0},"labels":["a","r1"],"clock_ms":5,"seq":4,"born":77})")
+                .as_object();
+        boost::json::object &capacity = body["capacity"].as_object();
+        (capacity.contains(path) ? capacity : body)[path] = boost::json::parse(value);
+        return parseAnnouncement(id, boost::json::serialize(body)).has_value();
+    };
+    REQUIRE(accepted("i-1", "seq", "4"));
+    REQUIRE(accepted("i-1", "cpu", "16000.0"));
+    const std::string tooLarge[] = {"-1",
+                                    "1e300",
+                                    "-1e300",
+                                    "0.5",
+                                    "9223372036854775807",
+                                    "-9223372036854775808",
+                                    "9223372036854775808",
+                                    "18446744073709551615",
+                                    "123456789012345678901234567890",
+                                    "\"5\"",
+                                    "null",
+                                    "true",
+                                    "[1]",
+                                    "{}"};
+    for (const char *field : {"cpu", "mem_mb", "gpu", "clock_ms"}) {
+        for (const std::string &value : tooLarge) {
+            INFO(field << " " << value);
+            REQUIRE_FALSE(accepted("i-1", field, value));
+        }
+    }
+    for (const char *field : {"seq", "born"}) {
+        for (const char *value : {"-1", "1e300", "0.5", "9223372036854775808", "\"5\"", "[1]"}) {
+            INFO(field << " " << value);
+            REQUIRE_FALSE(accepted("i-1", field, value));
+        }
+    }
+    for (const char *address : {"\"10.0.0.1:70000\"", "\"10.0.0.1:0\"", "\"10.0.0.1:-1\"", "\"10.0.0.1:1e300\"", "\"10.0.0.1\"",
+                                "\"\"", "\":80\"", "7", "null"}) {
+        INFO(address);
+        REQUIRE_FALSE(accepted("i-1", "address", address));
+    }
+    boost::json::array labels;
+    labels.resize(100000, boost::json::value("l"));
+    REQUIRE_FALSE(accepted("i-1", "labels", boost::json::serialize(labels)));
+    REQUIRE_FALSE(accepted("i-1", "labels", "[\"" + std::string(100000, 'l') + "\"]"));
+    REQUIRE_FALSE(accepted("i-1", "labels", "[7]"));
+    REQUIRE_FALSE(accepted("i-1", "labels", "\"a\""));
+    REQUIRE_FALSE(accepted("", "seq", "4"));
+    REQUIRE_FALSE(accepted(std::string(100000, 'i'), "seq", "4"));
+}
+
+TEST_CASE("An inventory with an implausible clock is not used for leases")
+{
+    for (const char *clock : {"-1", "9223372036854775807", "1e300", "0.5", "\"9\""}) {
+        INFO(clock);
+        REQUIRE_FALSE(parseInventory(std::string(R"({"running":[],"finished":[],"clock_ms":)") + clock + "}"));
+    }
+    const char *run = R"("5c0e7a21d94b36f8.0.1.9")";
+    for (const char *number : {"-1", "1e300", "0.5", "18446744073709551616", "\"1\"", "null"}) {
+        INFO(number);
+        REQUIRE_FALSE(parseInventory(std::string(R"({"clock_ms":9,"running":[],"finished":[[)") + number + "," + run
+                                     + R"(,1,"done",""]]})"));
+        REQUIRE_FALSE(parseInventory(std::string(R"({"clock_ms":9,"finished":[],"running":[[)") + run + "," + number + "]]}"));
+    }
+}
+
+TEST_CASE("Deeply nested bodies do not overflow the stack of a parser")
+{
+    const std::string nested = std::string(LargeBodyBytes / 2, '[') + std::string(LargeBodyBytes / 2, ']');
+    std::string objects;
+    for (std::size_t i = 0; i < LargeBodyBytes / 5; ++i) {
+        objects += R"({"a":)";
+    }
+    const std::string bodies[] = {std::string(LargeBodyBytes, '['),
+                                  objects,
+                                  nested,
+                                  R"({"labels":)" + nested + "}",
+                                  R"({"clock_ms":9,"running":[)" + nested + R"(],"finished":[]})",
+                                  R"({"version":1,"routes":[)" + nested + "]}",
+                                  R"({"spec":"s","best_effort":true,"steps":[)" + nested + "]}"};
+    for (const std::string &body : bodies) {
+        std::string reason;
+        REQUIRE_FALSE(parseConfig(body, reason));
+        REQUIRE_FALSE(parseAnnouncement("i", body));
+        REQUIRE_FALSE(parseInventory(body));
+        REQUIRE(std::holds_alternative<JobError>(parseJob(body)));
+        HttpOutcome outcome;
+        outcome.completion = HttpCompletion::Answered;
+        outcome.response.status = 409;
+        outcome.response.body = body;
+        REQUIRE(parseStartAnswer(outcome) == dispatch::StartAnswer::Unknown);
+    }
+}
+
+TEST_CASE("An odd announcement is refused and logged, and the server that announced itself before stays in use")
+{
+    boost::asio::io_context context;
+    ServerGateway gateway(context, Endpoint{Loopback, 1}, fixedNow);
+    NullLinkPort links;
+    RecordingLog log;
+    dispatch::AgentSettings settings;
+    settings.self = ProcessId{Endpoint{Loopback, 2}, Incarnation(1)};
+    settings.service = "svc";
+    dispatch::AgentDispatch agent(settings, gateway, links, log, fixedNow());
+    gateway.setDispatch(agent);
+    const auto put = [&gateway](const std::string &id, const std::string &body) {
+        HttpRequest request;
+        request.method = "PUT";
+        request.target = "/instances/" + id;
+        request.body = body;
+        const std::shared_ptr<RecordingExchange> exchange = std::make_shared<RecordingExchange>();
+        gateway.handle(std::move(request), exchange);
+        return exchange->responses.at(0).status;
+    };
+    const std::string good =
+        R"({"service":"svc","address":"10.0.0.1:80","state":"ready","capacity":{"cpu":7,"mem_mb":8},"clock_ms":5,"seq":4})";
+    REQUIRE(put("i-1", good) == 200);
+    const std::string odd[] = {
+        "",
+        "\xff",
+        std::string(LargeBodyBytes, '['),
+        "[]",
+        R"({"service":"svc","state":"draining"})",
+        R"({"service":"svc","address":"10.0.0.1:80","state":"ready","capacity":{"cpu":-1,"mem_mb":8},"clock_ms":5,"seq":9})"};
+    for (const std::string &body : odd) {
+        INFO(body.substr(0, 100));
+        const std::size_t lines = log.lines.size();
+        REQUIRE(put("i-1", body) == 400);
+        REQUIRE(log.lines.size() == lines + 1);
+        REQUIRE(log.lines.back() == "announcement-ignored id=i-1 reason=invalid");
+        REQUIRE(agent.ledger().capacity().cpuMilli == 7);
+    }
+    REQUIRE(put(std::string(100000, 'i'), good) == 400);
+    REQUIRE(put("", good) == 400);
+    REQUIRE(agent.ledger().capacity().cpuMilli == 7);
+}
