--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -116,13 +116,18 @@
         ++revision;
         config = document;
         for (const std::shared_ptr<HttpExchange> &watch : m_openWatches) {
-            respond(watch, 200,
-                    R"({"events":[)" + serializeConfigItem() + R"(],"store_revision":)" + std::to_string(revision) + "}");
+            respond(watch, 200, changeEvent());
         }
         m_openWatches.clear();
     }
 
+    std::size_t openWatches() const
+    {
+        return m_openWatches.size();
+    }
+
     std::string config;
+    std::string rawConfigValue; ///< Unless empty, the JSON text of the document's value.
     int revision = 10;
     int watchCount = 0;
     int writeCount = 0;
@@ -131,6 +136,8 @@
     bool unavailable = false; ///< Every request is answered with 503.
     bool historyLost = false; ///< The next watch is answered with 410.
     bool entryKeyMissing = false; ///< Listings omit the entry's key.
+    std::string oddElement; ///< JSON text that precedes the entry's item in listings, and the document in events.
+    std::string watchAnswer; ///< Unless empty, all watches are answered at once with this body.
 
 private:
     static void respond(const std::shared_ptr<HttpExchange> &exchange, unsigned status, const std::string &body)
@@ -143,10 +150,17 @@
 
     std::string serializeConfigItem() const
     {
-        return R"({"key":"op/config","value":")" + encodeBase64(config) + R"(","revision":)" + std::to_string(revision)
+        const std::string value = rawConfigValue.empty() ? "\"" + encodeBase64(config) + "\"" : rawConfigValue;
+        return R"({"key":"op/config","value":)" + value + R"(,"revision":)" + std::to_string(revision)
             + R"(,"created":1,"lease":0)";
     }
 
+    std::string changeEvent() const
+    {
+        return R"({"events":[)" + oddElement + (oddElement.empty() ? "" : ",") + serializeConfigItem() + R"(}],"store_revision":)"
+            + std::to_string(revision) + "}";
+    }
+
     void handle(const HttpRequest &request, const std::shared_ptr<HttpExchange> &exchange)
     {
         const std::string path = request.target.substr(0, request.target.find('?'));
@@ -161,6 +175,10 @@
             if (historyLost) {
                 historyLost = false;
                 respond(exchange, 410, "{}");
+            } else if (!watchAnswer.empty()) {
+                respond(exchange, 200, watchAnswer);
+            } else if (request.target.find("&after=" + std::to_string(revision) + "&") == std::string::npos) {
+                respond(exchange, 200, changeEvent());
             } else {
                 m_openWatches.push_back(exchange);
             }
@@ -178,7 +196,9 @@
         } else if (path == "/kv-range") {
             const std::string entryItem =
                 entryKeyMissing ? "" : R"({"key":"cuminscale/entries/n","value":")" + m_entryValue + "\"}";
-            respond(exchange, 200, R"({"items":[)" + entryItem + R"(],"has_more":false,)" + revisionField);
+            const std::string separator = oddElement.empty() || entryItem.empty() ? "" : ",";
+            respond(exchange, 200,
+                    R"({"items":[)" + oddElement + separator + entryItem + R"(],"has_more":false,)" + revisionField);
         } else {
             respond(exchange, 200, R"({"ttl_ms":6000})");
         }
@@ -189,6 +209,33 @@
     HttpServer m_server;
 };
 
+/// A store client that records what it reads.
+struct RecordingClient
+{
+    RecordingClient(boost::asio::io_context &context, const FakeStore &store)
+        : client(context, store.endpoint(), log, handlers())
+    { }
+
+    StoreClient::Handlers handlers()
+    {
+        StoreClient::Handlers result;
+        result.onConfigDocument = [this](const std::string &document) {
+            documents.push_back(document);
+        };
+        result.onEntries = [this](const std::vector<Endpoint> &listed) {
+            entries = listed;
+            ++listings;
+        };
+        return result;
+    }
+
+    RecordingLog log;
+    std::vector<std::string> documents;
+    std::vector<Endpoint> entries;
+    int listings = 0;
+    StoreClient client;
+};
+
 /// Runs the context until a condition holds, for at most 2000 steps, each of which waits up to 20 ms for an event.
 bool runUntil(boost::asio::io_context &context, const std::function<bool()> &condition)
 {
@@ -200,6 +247,35 @@
 
 constexpr std::size_t LargeBodyBytes = 4U << 20U;
 
+/// Elements that another writer can have left in a list of the store. None names an entry.
+std::vector<std::string> oddElements()
+{
+    std::vector<std::string> elements = {
+        "5",
+        "null",
+        "1e99999999999",
+        "[]",
+        "{}",
+        "\"\xff\"",
+        R"({"key":"cuminscale/entries/\ud800","value":"MTI3LjAuMC4xOjc4"})",
+        R"({"key":"cuminscale/entries/x"})",
+        R"({"key":"cuminscale/entries/x","value":""})",
+        R"({"key":"cuminscale/entries/x","value":7})",
+        R"({"key":"cuminscale/entries/x","value":"!!!!"})",
+        R"({"key":"cuminscale/entries/x","value":"====","revision":1e300})",
+        R"({"key":7,"value":[1],"revision":-0.5})",
+        R"({"key":"cuminscale/entries/x","value":")" + std::string(200000, 'A') + "\"}",
+        R"({"key":")" + std::string(300, 'k') + R"(","value":"QUFBQQ==","revision":123456789012345678901234567890})",
+        R"({"key":"cuminscale/entries/x","value":)" + std::string(100000, '[') + std::string(100000, ']') + "}",
+    };
+    for (const char *address : {"127.0.0.1:70000", "127.0.0.1:0", "127.0.0.1:-1", "127.0.0.1:1e300", "127.0.0.1:7.5",
+                                "127.0.0.1:", "127.0.0.1:99999999999999999999"}) {
+        elements.push_back(R"({"key":"cuminscale/entries/x","value":")" + encodeBase64(address) + "\"}");
+    }
+    elements.push_back(R"({"key":"cuminscale/entries/x","value":")" + encodeBase64(std::string(100000, '[')) + "\"}");
+    return elements;
+}
+
 } // namespace
 
 TEST_CASE("Configuration routes are parsed into queue rules")
@@ -547,6 +623,90 @@
     }
 }
 
+TEST_CASE("One odd item in the list of entries does not hide the others")
+{
+    boost::asio::io_context context;
+    FakeStore store(context);
+    RecordingClient reader(context, store);
+    const Endpoint peer{Loopback, 77};
+    reader.client.registerEntry("n", peer);
+    REQUIRE(runUntil(context, [&]() { return store.writeCount == 1; }));
+    for (const std::string &element : oddElements()) {
+        store.oddElement = element;
+        const int listings = reader.listings;
+        reader.client.listEntries();
+        INFO(element.substr(0, 100));
+        REQUIRE(runUntil(context, [&]() { return reader.listings > listings; }));
+        REQUIRE(reader.entries == std::vector<Endpoint>{peer});
+    }
+    const std::string log = boost::json::serialize(boost::json::value_from(reader.log.lines));
+    REQUIRE(log.find("entries-odd") != std::string::npos);
+}
+
+TEST_CASE("One odd event of a watch does not keep later documents from being read")
+{
+    boost::asio::io_context context;
+    FakeStore store(context);
+    store.config = "first";
+    RecordingClient reader(context, store);
+    reader.client.followConfig();
+    int n = 0;
+    for (const std::string &element : oddElements()) {
+        INFO(element.substr(0, 100));
+        store.oddElement = element;
+        const std::string document = "document " + std::to_string(++n);
+        REQUIRE(runUntil(context, [&]() { return store.openWatches() > 0; }));
+        store.write(document);
+        REQUIRE(runUntil(context, [&]() { return !reader.documents.empty() && reader.documents.back() == document; }));
+    }
+    // No event made the client read the document again.
+    const std::string log = boost::json::serialize(boost::json::value_from(reader.log.lines));
+    REQUIRE(log.find("store-lost") == std::string::npos);
+}
+
+TEST_CASE("A watch that is answered again and again without progress is not repeated at full speed")
+{
+    for (const char *answer : {R"({"events":[{"key":"op/config","value":"!!!!"}],"store_revision":10})",
+                               R"({"events":[{"key":"op/config","value":7}],"store_revision":3})", R"({"events":[7]})",
+                               R"({"events":[],"store_revision":10})", "{"}) {
+        boost::asio::io_context context;
+        FakeStore store(context);
+        store.config = "first";
+        store.watchAnswer = answer;
+        RecordingClient reader(context, store);
+        reader.client.followConfig();
+        const std::chrono::steady_clock::time_point end = std::chrono::steady_clock::now() + std::chrono::milliseconds(500);
+        while (std::chrono::steady_clock::now() < end) {
+            context.run_one_for(std::chrono::milliseconds(20));
+        }
+        INFO(answer);
+        REQUIRE(store.watchCount > 0);
+        REQUIRE(store.watchCount <= 12);
+        store.watchAnswer.clear();
+        REQUIRE(runUntil(context, [&]() { return store.openWatches() > 0; }));
+        store.write("second");
+        REQUIRE(runUntil(context, [&]() { return reader.documents.back() == "second"; }));
+    }
+}
+
+TEST_CASE("A document that can't be decoded does not keep the next one from being read")
+{
+    boost::asio::io_context context;
+    FakeStore store(context);
+    store.rawConfigValue = std::string(100000, '[') + std::string(100000, ']');
+    store.config = "first";
+    RecordingClient reader(context, store);
+    reader.client.followConfig();
+    REQUIRE(runUntil(context, [&]() { return !reader.log.lines.empty(); }));
+    REQUIRE(reader.documents.empty());
+    store.rawConfigValue = "\"!!!!\"";
+    REQUIRE(runUntil(context, [&]() { return store.openWatches() > 0; }));
+    REQUIRE(reader.documents.empty());
+    store.rawConfigValue.clear();
+    store.write("second");
+    REQUIRE(runUntil(context, [&]() { return !reader.documents.empty() && reader.documents.back() == "second"; }));
+}
+
 TEST_CASE("An odd announcement is refused and logged, and the server that announced itself before stays in use")
 {
     boost::asio::io_context context;
