One odd key of etcd no longer hides the other entries

Cause: one key-value pair that can't be decoded made the whole response count as malformed, so the list was read again with backoff for as long as the pair stayed. etcd itself encodes all keys; another server of this interface may not. A key with port 0 named an entry. Change: malformed pairs are left out if others can be read, and port 0 names no entry. A response whose pairs are all malformed is still rejected, as caller_api_tests demands: it must not count as an empty list.

--- a/src/adapters/etcd_messages.cpp
+++ b/src/adapters/etcd_messages.cpp
@@ -49,6 +49,7 @@
     return std::string(value->get_string());
 }
 
+/// Appends a key-value pair. Returns false if it is malformed.
 bool parseKeyValue(const json::value &value, bool deleted, std::vector<KeyValue> &out)
 {
     if (!value.is_object()) {
@@ -64,24 +65,38 @@
     return true;
 }
 
-bool parseEvents(const json::value *events, std::vector<KeyValue> &out)
+/// Appends the pair of an event of a watch. Returns false if it is malformed.
+bool parseEvent(const json::value &event, std::vector<KeyValue> &out)
 {
-    if (events == nullptr) {
-        return true;
-    }
-    if (!events->is_array()) {
+    if (!event.is_object() || !event.get_object().contains("kv")) {
         return false;
     }
-    for (const json::value &event : events->get_array()) {
-        if (!event.is_object() || !event.get_object().contains("kv")) {
+    const bool deleted = parseString(event.get_object().if_contains("type")) == "DELETE";
+    return parseKeyValue(event.get_object().at("kv"), deleted, out);
+}
+
+/// Appends the pairs of the range result and the events in a response. Returns false if one of them is no array, or if there are
+/// pairs and all of them are malformed: such a response must not count as an empty list.
+bool parsePairs(const json::object &response, std::vector<KeyValue> &out)
+{
+    bool malformed = false;
+    if (const json::value *kvs = response.if_contains("kvs"); kvs != nullptr) {
+        if (!kvs->is_array()) {
             return false;
         }
-        const bool deleted = parseString(event.get_object().if_contains("type")) == "DELETE";
-        if (!parseKeyValue(event.get_object().at("kv"), deleted, out)) {
+        for (const json::value &kv : kvs->get_array()) {
+            malformed = !parseKeyValue(kv, false, out) || malformed;
+        }
+    }
+    if (const json::value *events = response.if_contains("events"); events != nullptr) {
+        if (!events->is_array()) {
             return false;
         }
+        for (const json::value &event : events->get_array()) {
+            malformed = !parseEvent(event, out) || malformed;
+        }
     }
-    return true;
+    return !malformed || !out.empty();
 }
 
 } // namespace
@@ -148,17 +163,7 @@
     if (const json::value *header = object->if_contains("header"); header != nullptr && header->is_object()) {
         response.revision = parseInteger(header->get_object().if_contains("revision"));
     }
-    if (const json::value *kvs = object->if_contains("kvs"); kvs != nullptr) {
-        if (!kvs->is_array()) {
-            return std::nullopt;
-        }
-        for (const json::value &kv : kvs->get_array()) {
-            if (!parseKeyValue(kv, false, response.kvs)) {
-                return std::nullopt;
-            }
-        }
-    }
-    if (!parseEvents(object->if_contains("events"), response.kvs)) {
+    if (!parsePairs(*object, response.kvs)) {
         return std::nullopt;
     }
     if (const json::value *succeeded = object->if_contains("succeeded"); succeeded != nullptr && succeeded->is_bool()) {
--- a/src/adapters/etcd_messages.h
+++ b/src/adapters/etcd_messages.h
@@ -53,7 +53,8 @@
 /// Lease renewal or revocation request; both contain just the lease id.
 std::string leaseRequest(std::string_view lease);
 
-/// Parses a response or a message of a watch stream. Returns nullopt if it is malformed or reports an error.
+/// Parses a response or a message of a watch stream. Malformed key-value pairs are left out if there are others, so that one does
+/// not hide them. Returns nullopt if the response is malformed otherwise, or reports an error.
 std::optional<Response> parseResponse(std::string_view text);
 
 /// Serializes a configuration for the store.
--- a/src/adapters/etcd_store.cpp
+++ b/src/adapters/etcd_store.cpp
@@ -236,10 +236,12 @@
             return m_entries.erase(name) > 0;
         }
         const std::optional<Endpoint> endpoint = parseEndpoint(name);
-        if (endpoint) {
+        // Other programs can write such keys too; one that is no address names no entry.
+        const bool valid = endpoint && endpoint->port != 0;
+        if (valid) {
             m_entries[name] = ProcessId{*endpoint, Incarnation()};
         }
-        return endpoint.has_value();
+        return valid;
     }
 
     void reportEntries()
--- a/tests/decoder_tests.cpp
+++ b/tests/decoder_tests.cpp
@@ -1,4 +1,5 @@
 #include "adapters/announcement.h"
+#include "adapters/base64.h"
 #include "adapters/caller_api.h"
 #include "adapters/etcd_messages.h"
 #include "core/config_document.h"
@@ -128,3 +129,63 @@
     REQUIRE(decodeSettings(settings));
     REQUIRE(countAccepted(settings, decodeSettings) < MutatedCopies);
 }
+
+TEST_CASE("announcements with an implausible number or port name no server to use")
+{
+    const auto accepted = [](const std::string &field, const std::string &value) {
+        std::string body = R"({"service": "s", ")" + field + "\": " + value;
+        body += field == "address" ? "}" : R"(, "address": "127.0.0.1:80"})";
+        return std::holds_alternative<event::BackendAnnounced>(parseAnnouncement(body));
+    };
+    REQUIRE(accepted("address", "\"127.0.0.1:80\""));
+    REQUIRE(accepted("slots", "4.0"));
+    const std::string nested = std::string(2U << 20U, '[') + std::string(2U << 20U, ']');
+    for (const std::string &value :
+         {std::string("\"127.0.0.1:70000\""), std::string("\"127.0.0.1:0\""), std::string("\"127.0.0.1:-1\""),
+          std::string("\"127.0.0.1:1e300\""), std::string("\"\""), std::string("80"), std::string("null"), nested}) {
+        INFO(value.substr(0, 100));
+        REQUIRE_FALSE(accepted("address", value));
+    }
+    for (const char *field : {"slots", "connections", "ttl_ms"}) {
+        for (const std::string &value :
+             {std::string("0"), std::string("-1"), std::string("1e300"), std::string("0.5"), std::string("NaN"),
+              std::string("4294967297"), std::string("9223372036854775807"), std::string("18446744073709551616"),
+              std::string("123456789012345678901234567890"), std::string("1e99999999999"), nested}) {
+            INFO(field << " " << value.substr(0, 100));
+            REQUIRE_FALSE(accepted(field, value));
+        }
+    }
+    REQUIRE(std::holds_alternative<ApiError>(parseAnnouncement(std::string(4U << 20U, '['))));
+}
+
+TEST_CASE("one key of etcd that can't be decoded does not hide the others")
+{
+    const std::string good =
+        R"({"key":")" + encodeBase64("/cuminscale/entries/127.0.0.1:7000") + R"(","value":"e30=","mod_revision":"5"})";
+    for (const std::string &odd : {std::string("7"), std::string("null"), std::string(R"({"key":"!!!!","value":"e30="})"),
+                                   std::string(R"({"key":"e30=","value":"!"})"), std::string(R"({"key":[1],"value":{}})")}) {
+        INFO(odd);
+        const std::optional<etcd::Response> range =
+            etcd::parseResponse(R"({"header":{"revision":"9"},"kvs":[)" + odd + "," + good + "]}");
+        REQUIRE(range);
+        REQUIRE(range->revision == 9);
+        REQUIRE(range->kvs.back().key == "/cuminscale/entries/127.0.0.1:7000");
+        const std::optional<etcd::Response> watch =
+            etcd::parseResponse(R"({"result":{"events":[)" + odd + R"(,{"kv":)" + odd + R"(},{"kv":)" + good + "}]}}");
+        REQUIRE(watch);
+        REQUIRE(watch->kvs.back().key == "/cuminscale/entries/127.0.0.1:7000");
+    }
+}
+
+TEST_CASE("deeply nested values from the store do not overflow the stack")
+{
+    const std::string nested = std::string(2U << 20U, '[') + std::string(2U << 20U, ']');
+    REQUIRE_FALSE(etcd::parseResponse(nested));
+    REQUIRE_FALSE(etcd::parseResponse(std::string(4U << 20U, '[')));
+    REQUIRE_FALSE(etcd::parseStoredConfig(nested));
+    REQUIRE_FALSE(etcd::parseStoredConfig(R"({"revision":1,"document":)" + nested + "}"));
+    ConfigError error;
+    REQUIRE_FALSE(parseConfigDocument(nested, error));
+    SettingsError settingsError;
+    REQUIRE_FALSE(parseSettings(nested, settingsError));
+}
