A peer that can't be connected to no longer ends the thread that sends to the others

Cause: opening a connection throws when the process has no descriptor left, and nothing caught that in the network thread of the project's own path. Keys that another program leaves among those of the entries lead to a connection each. Change: the message counts as lost, as on the platform's path.

--- a/src/adapters/zmq_peers.cpp
+++ b/src/adapters/zmq_peers.cpp
@@ -124,7 +124,12 @@
         const Envelope envelope = std::move(effect).makeEnvelope(m_self, m_clock());
         const std::string bytes = encodeEnvelope(envelope);
         count(isControl(envelope.message) ? m_traffic.controlSent : m_traffic.workSent, bytes.size());
-        dealerFor(endpoint).send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+        try {
+            dealerFor(endpoint).send(zmq::buffer(bytes), zmq::send_flags::dontwait);
+        } catch (const zmq::error_t &) {
+            // The address is invalid, or the process has no descriptor left for the socket. Counts as a lost message.
+            m_dealers.erase(endpoint);
+        }
     }
 
     void closeConnection(const Endpoint &endpoint)
--- a/tests/zmq_link_tests.cpp
+++ b/tests/zmq_link_tests.cpp
@@ -1,9 +1,11 @@
 #include "adapters/zmq_link.h"
+#include "adapters/zmq_peers.h"
 
 #include "core/dispatch/messages.h"
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <sys/resource.h>
 #include <zmq.hpp>
 
 using namespace cuminscale;
@@ -58,3 +60,27 @@
     REQUIRE(receiver.counters().malformed == 3);
     REQUIRE(received == 0);
 }
+
+TEST_CASE("More entries in the store than descriptors for connections do not end the thread that sends to them")
+{
+    ZmqPeers peers(Endpoint{Loopback, 0}, []() { return TimePoint(seconds(1)); });
+    peers.setSelf(ProcessId{peers.endpoint(), Incarnation(1)});
+    rlimit limit{};
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &limit) == 0);
+    rlimit few = limit;
+    few.rlim_cur = 64;
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &few) == 0);
+    std::size_t failed = 0;
+    for (std::uint16_t port = 1; port < 200; ++port) {
+        effect::SendPeer effect;
+        effect.to = ProcessId{Endpoint{Loopback, port}, Incarnation(2)};
+        effect.message = msg::Heartbeat();
+        try {
+            peers.send(std::move(effect));
+        } catch (const std::exception &) {
+            ++failed;
+        }
+    }
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &limit) == 0);
+    REQUIRE(failed == 0);
+}
