A resubmission of a job whose outcome is final is answered while its runs are still being stopped

Found by the test of a resubmitted job that has crashed servers. Change: it is answered at once with the outcome. Tests for the parts of crash reports, isolation and placement.

--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -176,6 +176,10 @@
     if (existing != m_jobs.end()) {
         Job &job = existing->second;
         ++m_counters.joined;
+        if (job.answered && stateAfter(*job.answer) != JobStatus::State::Refused) {
+            m_clients.answer(client, *job.answer, "ended before", Duration(0));
+            return;
+        }
         if (job.answered) {
             job.resubmittedClients.push_back(waiting);
         } else {
--- a/tests/agent_dispatch_tests.cpp
+++ b/tests/agent_dispatch_tests.cpp
@@ -507,3 +507,38 @@
     fixture.tickFor(milliseconds(300));
     REQUIRE(fixture.reportsAccepting());
 }
+
+TEST_CASE("The crash of a server is reported with the tasks that had just been started there")
+{
+    AgentFixture fixture;
+    const ServerIncarnation real{"s", 1};
+    fixture.tickFor(milliseconds(300));
+    StartOrder order = fixture.makeOrder("00000000000000d1", milliseconds(100), milliseconds(90), 2);
+    order.queue = queueKey("q");
+    fixture.receiveFromEntry(std::move(order));
+    const RunRef listed = fixture.server.starts.at(0).run;
+    const RunRef suspect = fixture.server.starts.at(1).run;
+    fixture.agent.onStartAnswered(fixture.now, listed, StartAnswer::Accepted, fixture.serverClock());
+    fixture.answerPolls(real, {listed});
+    fixture.agent.onStartAnswered(fixture.now, suspect, StartAnswer::Unknown, std::nullopt);
+    SECTION("when its connections are refused")
+    {
+        fixture.agent.onPollAnswered(fixture.now, fixture.server.lastPollNumber, std::nullopt, PollFailure::Refused);
+    }
+    SECTION("when it restarts after it has been silent for longer than the lease")
+    {
+        fixture.agent.onPollAnswered(fixture.now, fixture.server.lastPollNumber, std::nullopt, PollFailure::Unknown);
+        fixture.tickFor(milliseconds(1500));
+        REQUIRE(fixture.agent.ledger().records().empty());
+        REQUIRE(fixture.lastReport().crashes.empty());
+        fixture.lastAnsweredPoll = 0;
+        fixture.announce(ServerIncarnation{"s", 2}, 1);
+        fixture.answerPolls(ServerIncarnation{"s", 2});
+    }
+    const std::vector<ServerCrash> crashes = fixture.lastReport().crashes;
+    REQUIRE(crashes.size() == 1);
+    REQUIRE(crashes[0].suspects == std::vector<dispatch::TaskRef>{suspect.task});
+    REQUIRE(crashes[0].bystanders == std::vector<dispatch::TaskRef>{listed.task});
+    REQUIRE(crashes[0].suspectQueues == std::vector<QueueKey>{queueKey("q")});
+    REQUIRE(fixture.agent.counters().serverCrashes == 1);
+}
--- /dev/null
+++ b/tests/crash_history_tests.cpp
@@ -0,0 +1,134 @@
+#include "core/dispatch/crash_history.h"
+#include "core/dispatch/queue_isolation.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cuminscale;
+using namespace cuminscale::dispatch;
+
+namespace
+{
+
+const std::string Service = "svc";
+const QueueKey Deadly = queueKey("deadly");
+const QueueKey Other = queueKey("other");
+constexpr std::size_t Servers = 12;
+
+TimePoint at(Duration sinceStart)
+{
+    return TimePoint(seconds(1000)) + sinceStart;
+}
+
+ProcessId agent(std::uint32_t n)
+{
+    return ProcessId{Endpoint{n, 7000}, Incarnation(1)};
+}
+
+TaskRef task(std::uint32_t index)
+{
+    return TaskRef{*JobId::parse("00000000000000a1"), 0, 0, index};
+}
+
+ServerCrash crash(std::uint64_t number, std::vector<TaskRef> suspects, std::vector<TaskRef> bystanders = {})
+{
+    return ServerCrash{number, std::move(suspects), std::move(bystanders), {Deadly}};
+}
+
+/// Work of two queues, of which the first has this part.
+QueueIsolation isolationWithShare(double share)
+{
+    QueueIsolation isolation;
+    isolation.recordDemand(at(Duration(0)), Service, Deadly, share);
+    isolation.recordDemand(at(Duration(0)), Service, Other, 1.0 - share);
+    return isolation;
+}
+
+} // namespace
+
+TEST_CASE("A crash that an agent reports several times counts once")
+{
+    CrashHistory history;
+    REQUIRE(history.record(at(seconds(0)), agent(1), crash(1, {task(0)})));
+    REQUIRE_FALSE(history.record(at(seconds(1)), agent(1), crash(1, {task(0)})));
+    REQUIRE(history.isSuspect(task(0)));
+    REQUIRE_FALSE(history.exceedsLimit(task(0).job));
+    REQUIRE(history.record(at(seconds(1)), agent(1), crash(2, {task(0)})));
+    REQUIRE(history.exceedsLimit(task(0).job));
+}
+
+TEST_CASE("A task that is always suspected too late is given up after three crashes")
+{
+    CrashHistory history;
+    for (std::uint32_t n = 1; n <= 3; ++n) {
+        REQUIRE_FALSE(history.exceedsLimit(task(5).job));
+        // Another job is suspected each time.
+        const TaskRef other{*JobId::parse("00000000000000b" + std::to_string(n)), 0, 0, 0};
+        history.record(at(seconds(n)), agent(n), crash(1, {other}, {task(5)}));
+    }
+    REQUIRE(history.exceedsLimit(task(5).job));
+    REQUIRE_FALSE(history.hasSuspect(task(5).job));
+}
+
+TEST_CASE("Crashes under different tasks of a job do not add up")
+{
+    CrashHistory history;
+    history.record(at(seconds(0)), agent(1), crash(1, {task(0)}));
+    history.record(at(seconds(0)), agent(2), crash(1, {task(1)}));
+    REQUIRE_FALSE(history.exceedsLimit(task(0).job));
+}
+
+TEST_CASE("Crashes are forgotten after the retention")
+{
+    CrashHistory history;
+    history.record(at(seconds(0)), agent(1), crash(1, {task(0), task(1)}, {task(2)}));
+    history.record(at(seconds(20)), agent(2), crash(1, {task(0)}));
+    REQUIRE(history.exceedsLimit(task(0).job));
+    history.expire(at(seconds(31)));
+    REQUIRE_FALSE(history.exceedsLimit(task(0).job));
+    REQUIRE(history.isSuspect(task(0)));
+    REQUIRE_FALSE(history.isSuspect(task(1)));
+    history.expire(at(seconds(51)));
+    REQUIRE_FALSE(history.hasSuspect(task(0).job));
+}
+
+TEST_CASE("An entry that starts after a crash is told of it")
+{
+    CrashReports reports;
+    reports.add(at(seconds(0)), crash(0, {task(0)}));
+    REQUIRE(reports.reportable(at(milliseconds(900)), at(seconds(0))).size() == 1);
+    REQUIRE(reports.reportable(at(seconds(10)), at(seconds(0))).empty());
+    REQUIRE(reports.reportable(at(seconds(10)), at(seconds(10))).size() == 1);
+    REQUIRE(reports.reportable(at(seconds(31)), at(seconds(31))).empty());
+}
+
+TEST_CASE("A queue is isolated after separate crashes of many servers and until its crashes end")
+{
+    QueueIsolation isolation = isolationWithShare(0.2);
+    REQUIRE_FALSE(isolation.recordCrash(at(milliseconds(100)), Service, Servers, Endpoint{1, 1}, {Deadly}));
+    REQUIRE_FALSE(isolation.recordCrash(at(milliseconds(600)), Service, Servers, Endpoint{2, 1}, {Deadly, Other}));
+    REQUIRE(isolation.recordCrash(at(milliseconds(900)), Service, Servers, Endpoint{3, 1}, {Deadly}) == Deadly);
+    REQUIRE(isolation.isIsolated(at(seconds(1)), Service, Deadly));
+    REQUIRE_FALSE(isolation.isIsolated(at(seconds(1)), Service, Other));
+    REQUIRE(isolation.affectsService(at(seconds(1)), Service));
+    REQUIRE_FALSE(isolation.affectsService(at(seconds(1)), "another service"));
+    // One crash among the servers that it is confined to extends it.
+    isolation.recordCrash(at(seconds(5)), Service, Servers, Endpoint{1, 1}, {Deadly});
+    REQUIRE(isolation.isIsolated(at(seconds(9)), Service, Deadly));
+    REQUIRE_FALSE(isolation.affectsService(at(seconds(11)), Service));
+}
+
+TEST_CASE("Servers that crash together isolate no queue")
+{
+    QueueIsolation isolation = isolationWithShare(0.2);
+    for (std::uint32_t n = 1; n <= 6; ++n) {
+        REQUIRE_FALSE(isolation.recordCrash(at(milliseconds(n)), Service, Servers, Endpoint{n, 1}, {Deadly}));
+    }
+}
+
+TEST_CASE("A queue with most of the work is not confined to a quarter of the servers")
+{
+    QueueIsolation isolation = isolationWithShare(0.7);
+    for (std::uint32_t n = 1; n <= 6; ++n) {
+        REQUIRE_FALSE(isolation.recordCrash(at(milliseconds(200 * n)), Service, Servers, Endpoint{n, 1}, {Deadly}));
+    }
+}
--- a/tests/dispatch_codec_tests.cpp
+++ b/tests/dispatch_codec_tests.cpp
@@ -55,6 +55,26 @@
     REQUIRE(toString(report.events.at(0).run.task) == "0123456789ABcdef.0.2.3");
 }
 
+TEST_CASE("Crashes and the queue of an order are transmitted")
+{
+    const TaskRef suspect{*JobId::parse("0123456789ABcdef"), 0, 1, 2};
+    const TaskRef bystander{*JobId::parse("0123456789ABcdef"), 0, 0, 7};
+    Envelope envelope = sampleReport();
+    std::get<AgentReport>(envelope.message).crashes = {ServerCrash{3, {suspect}, {bystander}, {queueKey("q")}}};
+    const std::vector<ServerCrash> crashes = std::get<AgentReport>(decode(encode(envelope))->message).crashes;
+    REQUIRE(crashes.size() == 1);
+    REQUIRE(crashes[0].number == 3);
+    REQUIRE(crashes[0].suspects == std::vector<TaskRef>{suspect});
+    REQUIRE(crashes[0].bystanders == std::vector<TaskRef>{bystander});
+    REQUIRE(crashes[0].suspectQueues == std::vector<QueueKey>{queueKey("q")});
+    StartOrder order;
+    order.job = suspect.job;
+    order.queue = queueKey("q");
+    order.payload = std::make_shared<const std::string>("x");
+    envelope.message = order;
+    REQUIRE(std::get<StartOrder>(decode(encode(envelope))->message).queue == queueKey("q"));
+}
+
 TEST_CASE("Active jobs are listed by the numbers of their ids")
 {
     const JobId job = *JobId::parse("0123456789ABcdef");
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -380,3 +380,55 @@
     REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).empty());
     REQUIRE(fixture.clients.answers.at(1) == JobOutcome::NotRun);
 }
+
+TEST_CASE("A job under whose task two servers have crashed is failed, and not started again when it is resubmitted")
+{
+    EntryFixture fixture;
+    const dispatch::TaskRef task{Job1, 0, 0, 0};
+    const auto reportCrash = [&](std::uint64_t number) {
+        AgentReport report = fixture.makeReport();
+        report.crashes = {ServerCrash{number, {task}, {}, {queueKey("q")}}};
+        fixture.entry.onMessage(fixture.now, fixture.envelopeFrom(Agent, std::move(report)));
+    };
+    fixture.submit(1, seconds(2));
+    reportCrash(1);
+    REQUIRE(fixture.clients.answers.empty());
+    fixture.receiveReport({EntryFixture::makeEvent(RunEvent::Kind::Ended, RunEnd::Lost)});
+    REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).size() == 2);
+    reportCrash(2);
+    REQUIRE(fixture.clients.answers.at(1) == JobOutcome::Failed);
+    SECTION("at this entry")
+    {
+        fixture.submit(2, seconds(2));
+        REQUIRE(fixture.clients.answers.at(2) == JobOutcome::Failed);
+        REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).size() == 2);
+    }
+    SECTION("at an entry that did not coordinate it")
+    {
+        EntryFixture other;
+        AgentReport report = other.makeReport();
+        report.crashes = {ServerCrash{1, {task}, {}, {queueKey("q")}}, ServerCrash{2, {task}, {}, {queueKey("q")}}};
+        other.entry.onMessage(other.now, other.envelopeFrom(Agent, std::move(report)));
+        other.submit(1, seconds(2));
+        REQUIRE(other.clients.answers.at(1) == JobOutcome::Failed);
+        REQUIRE(other.links.messagesTo<StartOrder>(Agent.endpoint).empty());
+    }
+}
+
+TEST_CASE("After a crash, one of the suspected tasks of a job is tried before its other tasks")
+{
+    EntryFixture fixture;
+    std::shared_ptr<dispatch::JobSpec> spec = std::make_shared<dispatch::JobSpec>(*EntryFixture::makeSpec(milliseconds(50)));
+    spec->steps[0].count = 3;
+    AgentReport report = fixture.makeReport();
+    report.crashes = {ServerCrash{1, {dispatch::TaskRef{Job1, 0, 0, 1}}, {}, {queueKey("q")}}};
+    fixture.entry.onMessage(fixture.now, fixture.envelopeFrom(Agent, std::move(report)));
+    fixture.entry.submit(fixture.now, ClientTag(1), fixture.queue, Job1, spec, seconds(2));
+    REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).size() == 1);
+    REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint)[0].runs.size() == 1);
+    RunEvent done = EntryFixture::makeEvent(RunEvent::Kind::Ended, RunEnd::Done);
+    done.run.task.index = 1;
+    fixture.receiveReport({done});
+    REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).size() == 2);
+    REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint)[1].runs.size() == 2);
+}
--- a/tests/placement_tests.cpp
+++ b/tests/placement_tests.cpp
@@ -176,3 +176,27 @@
     const Duration wait = agent.expectedWait(accelerated.need, agent.load.free);
     REQUIRE(wait == (shrunk.memoryMb == 500 ? milliseconds(30) : milliseconds(100)));
 }
+
+TEST_CASE("Suspect tasks stay off most servers, and other tasks off the isolation servers, while there is a choice")
+{
+    FleetView fleet = makeFleet(4);
+    PlacementRequest isolated = request(6);
+    isolated.isolationServers = {Endpoint{4, 7000}};
+    isolated.isolation = Isolation::Confined;
+    REQUIRE(addresses(EarliestFinish().place(fleet, isolated, now())) == std::multiset<std::uint32_t>{4, 4, 4, 4, 4, 4});
+    isolated.isolation = Isolation::Preferred;
+    REQUIRE(addresses(EarliestFinish().place(fleet, isolated, now())).count(4) == 6);
+    isolated.isolation = Isolation::Outside;
+    REQUIRE(addresses(EarliestFinish().place(fleet, isolated, now())).count(4) == 0);
+    fleet.find(Endpoint{4, 7000})->load.accepting = false;
+    isolated.isolation = Isolation::Confined;
+    REQUIRE(EarliestFinish().place(fleet, isolated, now()).empty());
+    isolated.isolation = Isolation::Preferred;
+    REQUIRE(EarliestFinish().place(fleet, isolated, now()).size() == 6);
+    fleet.find(Endpoint{4, 7000})->load.accepting = true;
+    for (std::uint32_t i = 1; i <= 3; ++i) {
+        fleet.find(Endpoint{i, 7000})->load.accepting = false;
+    }
+    isolated.isolation = Isolation::Outside;
+    REQUIRE(addresses(EarliestFinish().place(fleet, isolated, now())).count(4) == 6);
+}
