An isolated queue is named in the log, and idle queues are forgotten

Cause: the line on an isolated queue gave the hash of its name, which an operator can't look up; queues that the configuration has dropped stayed in memory. Change: the name is kept with the demand; queues without demand for 10 s are removed. Result: crash_history_tests passes.

--- a/src/core/dispatch/entry_crashes.cpp
+++ b/src/core/dispatch/entry_crashes.cpp
@@ -18,13 +18,12 @@
     const std::ptrdiff_t servers =
         std::count_if(m_fleet.agents().begin(), m_fleet.agents().end(),
                       [&service](const FleetView::Agents::value_type &item) { return item.second.service == service; });
-    const std::optional<QueueKey> isolated =
+    const std::optional<std::string> isolated =
         m_isolation.recordCrash(now, service, static_cast<std::size_t>(servers), agent.endpoint, crash.suspectQueues);
     if (isolated) {
         ++m_counters.queuesIsolated;
         m_log.write(LogLevel::Warning, "queue-isolated",
-                    "service=" + service + " queue_hash=" + std::to_string(isolated->value())
-                        + " servers=" + std::to_string(servers));
+                    "service=" + service + " queue=" + *isolated + " servers=" + std::to_string(servers));
     }
     std::set<JobId> jobs;
     for (const std::vector<TaskRef> *tasks : {&crash.suspects, &crash.bystanders}) {
--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -246,7 +246,7 @@
         state.tasks.resize(step.count, task);
         job.steps.push_back(std::move(state));
     }
-    m_isolation.recordDemand(now, queue->service, queueKey(queue->name), coreSeconds(job));
+    m_isolation.recordDemand(now, queue->service, queue->name, coreSeconds(job));
     if (m_loadShedding.shouldShed(now, queue->name, queue->urgency, coreSeconds(job), m_fleet.backlog(queue->service, now))) {
         refuse(now, client, id, *queue, "shed");
         return;
@@ -533,6 +533,7 @@
         evictOldestEndedJob();
     }
     m_crashes.expire(now);
+    m_isolation.expire(now);
     maintainJoinedJobs(now);
     maintainAgents(now);
     maintainEntries(now);
--- a/src/core/dispatch/queue_isolation.cpp
+++ b/src/core/dispatch/queue_isolation.cpp
@@ -26,6 +26,7 @@
 constexpr double MinBlameShare = 0.5;
 /// How long a queue stays isolated after the last crash that its tasks are suspected of.
 constexpr Duration IsolationPeriod = seconds(5);
+constexpr Duration ExpiryInterval = seconds(10);
 
 std::size_t dividedUp(std::size_t n, std::size_t divisor)
 {
@@ -41,29 +42,33 @@
     return recentWork * std::exp(-elapsedTimeConstants);
 }
 
-void QueueIsolation::recordDemand(TimePoint now, const std::string &service, QueueKey queue, double work)
+void QueueIsolation::recordDemand(TimePoint now, const std::string &service, const std::string &queue, double work)
 {
-    Queue &demand = m_services[service].queues[queue];
+    Queue &demand = m_services[service].queues[queueKey(queue)];
+    demand.name = queue;
     demand.recentWork = demand.workAt(now) + work;
     demand.updatedAt = now;
 }
 
-std::optional<QueueKey> QueueIsolation::recordCrash(TimePoint now, const std::string &service, std::size_t servers,
-                                                    const Endpoint &server, const std::vector<QueueKey> &suspectQueues)
+std::optional<std::string> QueueIsolation::recordCrash(TimePoint now, const std::string &service, std::size_t servers,
+                                                       const Endpoint &server, const std::vector<QueueKey> &suspectQueues)
 {
     Service &state = m_services[service];
     while (!state.crashes.empty() && now - state.crashes.front().at > CrashMemory) {
         state.crashes.pop_front();
     }
     state.crashes.push_back(Crash{now, server, suspectQueues});
-    std::optional<QueueKey> added;
+    std::optional<std::string> added;
     for (const QueueKey queue : suspectQueues) {
         const bool isolated = isIsolated(now, service, queue);
         if (!isolated && (!state.causesCrashes(queue, servers) || state.demandShare(now, queue) > MaxDemandShare)) {
             continue;
         }
-        state.queues[queue].isolatedUntil = now + IsolationPeriod;
-        added = isolated ? added : queue;
+        Queue &suspect = state.queues[queue];
+        suspect.isolatedUntil = now + IsolationPeriod;
+        if (!isolated) {
+            added = suspect.name;
+        }
     }
     return added;
 }
@@ -119,6 +124,21 @@
                        [now](const std::pair<const QueueKey, Queue> &item) { return now < item.second.isolatedUntil; });
 }
 
+void QueueIsolation::expire(TimePoint now)
+{
+    if (now - m_expiredAt < ExpiryInterval) {
+        return;
+    }
+    m_expiredAt = now;
+    for (std::pair<const std::string, Service> &service : m_services) {
+        std::map<QueueKey, Queue> &queues = service.second.queues;
+        for (std::map<QueueKey, Queue>::iterator it = queues.begin(); it != queues.end();) {
+            const TimePoint usedAt = std::max(it->second.updatedAt, it->second.isolatedUntil);
+            it = now - usedAt > ExpiryInterval ? queues.erase(it) : std::next(it);
+        }
+    }
+}
+
 std::set<Endpoint> isolationServers(const FleetView &fleet, const std::string &service)
 {
     std::vector<std::pair<std::size_t, Endpoint>> ranked;
--- a/src/core/dispatch/queue_isolation.h
+++ b/src/core/dispatch/queue_isolation.h
@@ -21,17 +21,21 @@
 {
 public:
     /// Counts a submitted job towards the demand of its queue. `work` is the expected CPU time, in the same unit for all calls.
-    void recordDemand(TimePoint now, const std::string &service, QueueKey queue, double work);
+    void recordDemand(TimePoint now, const std::string &service, const std::string &queue, double work);
 
-    /// Records the crash of a server of a service that has `servers` servers. Returns the queue that becomes isolated by it.
-    std::optional<QueueKey> recordCrash(TimePoint now, const std::string &service, std::size_t servers, const Endpoint &server,
-                                        const std::vector<QueueKey> &suspectQueues);
+    /// Records the crash of a server of a service that has `servers` servers. Returns the name of the queue that becomes isolated
+    /// by it; a queue of which this entry has had no job has an empty name.
+    std::optional<std::string> recordCrash(TimePoint now, const std::string &service, std::size_t servers, const Endpoint &server,
+                                           const std::vector<QueueKey> &suspectQueues);
 
     bool isIsolated(TimePoint now, const std::string &service, QueueKey queue) const;
 
     /// Whether any queue of the service is isolated.
     bool affectsService(TimePoint now, const std::string &service) const;
 
+    /// Forgets queues without recent demand.
+    void expire(TimePoint now);
+
 private:
     struct Crash
     {
@@ -42,6 +46,7 @@
 
     struct Queue
     {
+        std::string name;
         double recentWork = 0; ///< Submitted work, with exponential decay.
         TimePoint updatedAt;
         TimePoint isolatedUntil;
@@ -61,6 +66,7 @@
     };
 
     std::map<std::string, Service> m_services;
+    TimePoint m_expiredAt;
 };
 
 /// The part of a service's servers that isolated queues are confined to. It does not change while servers crash and come back,
--- a/tests/crash_history_tests.cpp
+++ b/tests/crash_history_tests.cpp
@@ -38,8 +38,8 @@
 QueueIsolation isolationWithShare(double share)
 {
     QueueIsolation isolation;
-    isolation.recordDemand(at(Duration(0)), Service, Deadly, share);
-    isolation.recordDemand(at(Duration(0)), Service, Other, 1.0 - share);
+    isolation.recordDemand(at(Duration(0)), Service, "deadly", share);
+    isolation.recordDemand(at(Duration(0)), Service, "other", 1.0 - share);
     return isolation;
 }
 
@@ -106,7 +106,7 @@
     QueueIsolation isolation = isolationWithShare(0.2);
     REQUIRE_FALSE(isolation.recordCrash(at(milliseconds(100)), Service, Servers, Endpoint{1, 1}, {Deadly}));
     REQUIRE_FALSE(isolation.recordCrash(at(milliseconds(600)), Service, Servers, Endpoint{2, 1}, {Deadly, Other}));
-    REQUIRE(isolation.recordCrash(at(milliseconds(900)), Service, Servers, Endpoint{3, 1}, {Deadly}) == Deadly);
+    REQUIRE(isolation.recordCrash(at(milliseconds(900)), Service, Servers, Endpoint{3, 1}, {Deadly}) == std::string("deadly"));
     REQUIRE(isolation.isIsolated(at(seconds(1)), Service, Deadly));
     REQUIRE_FALSE(isolation.isIsolated(at(seconds(1)), Service, Other));
     REQUIRE(isolation.affectsService(at(seconds(1)), Service));
@@ -115,6 +115,8 @@
     isolation.recordCrash(at(seconds(5)), Service, Servers, Endpoint{1, 1}, {Deadly});
     REQUIRE(isolation.isIsolated(at(seconds(9)), Service, Deadly));
     REQUIRE_FALSE(isolation.affectsService(at(seconds(11)), Service));
+    isolation.expire(at(seconds(30)));
+    REQUIRE_FALSE(isolation.isIsolated(at(seconds(9)), Service, Deadly));
 }
 
 TEST_CASE("Servers that crash together isolate no queue")
--- a/tests/deadly_task_tests.cpp
+++ b/tests/deadly_task_tests.cpp
@@ -166,7 +166,8 @@
     settings.brokenConnectionRate = 0;
     const double first = static_cast<double>(FirstCrashSecond);
     const double second = static_cast<double>(SecondCrashSecond);
-    settings.serverCrashes = {ScheduledCrash{first, 1}, ScheduledCrash{first, 4}, ScheduledCrash{second, 2}, ScheduledCrash{second, 8}};
+    settings.serverCrashes = {ScheduledCrash{first, 1}, ScheduledCrash{first, 4}, ScheduledCrash{second, 2},
+                              ScheduledCrash{second, 8}};
     return settings;
 }
 
--- a/tests/http_server_tests.cpp
+++ b/tests/http_server_tests.cpp
@@ -156,8 +156,8 @@
 
 TEST_CASE("A request that has been read but not handled when idle connections are closed is answered")
 {
-    // Scenario: after a delay of the process, the next request on a kept-open connection and the timer that closes idle connections
-    // are due together. The context reads the request, runs the timer's handler, and then that of the read.
+    // Scenario: after a delay of the process, the next request on a kept-open connection and the timer that closes idle
+    // connections are due together. The context reads the request, runs the timer's handler, and then that of the read.
     HttpServerFixture fixture;
     tcp::socket client = fixture.connect();
     fixture.send(client, Request);
