An entry that is delayed past its exit still handles what has arrived

Cause: the first tick past the last margin ended the process, before the handlers of what had arrived; the same class as before, the exit by the clock. Change: the process exits with the tick after the first one past the margin, and the load balancer's reaction time is not waited for beyond the end of the jobs.

--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -110,14 +110,19 @@
     const Duration since = time - m_shutdownRequestedAt;
     // A load balancer without another entry that is ready sends new connections here to the end.
     const bool jobsEnded = since >= m_settings.stopGrace - JobEndMargin;
-    if (since < BalancerReactionTime || (m_dispatch->unanswered() > 0 && !jobsEnded)) {
+    if ((since < BalancerReactionTime || m_dispatch->unanswered() > 0) && !jobsEnded) {
         return false;
     }
     m_clientServer->closeIdleConnections();
     if (since >= m_settings.stopGrace - GiveUpMargin) {
         m_dispatch->giveUpUnanswered(time);
     }
-    return !m_clientServer->hasConnections() || since >= m_settings.stopGrace - ExitMargin;
+    if (!m_clientServer->hasConnections() || m_lastTurnTaken) {
+        return true;
+    }
+    // What arrived while the process was delayed is handled before the next tick.
+    m_lastTurnTaken = since >= m_settings.stopGrace - ExitMargin;
+    return false;
 }
 
 void EntryProcess::onSettings(const DispatchSettings &settings)
--- a/src/daemon/entry_process.h
+++ b/src/daemon/entry_process.h
@@ -32,6 +32,7 @@
 
     platform::ClientGateway m_gateway;
     std::unique_ptr<dispatch::EntryDispatch> m_dispatch;
+    bool m_lastTurnTaken = false; ///< The process exits with the next tick.
     std::unique_ptr<platform::StoreClient> m_store;
     std::unique_ptr<HttpServer> m_clientServer;
     std::unique_ptr<HttpServer> m_readyServer;
