Crashes are reported once, to every entry, until it has confirmed them

What callers could see: a job failed after one crash, or started again after three, where crashes were counted twice or not at all. Isolation ignored labels, so a group of servers could have no place; two queues with equal blame were both isolated, and any crash extended it. Orders of a former version named no queue and isolated the empty one. Change: each of these. A crash is in every report until a message sent after it is confirmed, and goes to all known entries at once.

--- a/src/core/dispatch/agent_coordinators.cpp
+++ b/src/core/dispatch/agent_coordinators.cpp
@@ -34,7 +34,6 @@
     }
     if (arrival == PeerSession::Arrival::NewIncarnation) {
         stopRunsOf(now, from, "its coordinator restarted");
-        coordinator.contactSince = now;
         coordinator.lastKnownAliveAt = TimePoint();
         coordinator.unacknowledged.clear();
         coordinator.sentUpTo = 0;
@@ -216,7 +215,7 @@
             report.events.push_back(event);
         }
     }
-    report.crashes = m_crashReports.reportable(now, coordinator.contactSince);
+    report.crashes = m_crashReports.unconfirmed(now, coordinator.session.echoed());
     if (!report.events.empty()) {
         coordinator.sentUpTo = std::max(coordinator.sentUpTo, report.events.back().number);
         if (report.events.front().number == coordinator.unacknowledged.front().number) {
--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -166,11 +166,9 @@
     {
         explicit Coordinator(TimePoint now)
             : session(now)
-            , contactSince(now)
         { }
 
         PeerSession session;
-        TimePoint contactSince; ///< When this incarnation of the entry was first heard of.
         /// Latest time at which the entry is known to have been running, from the maximum age of its messages.
         TimePoint lastKnownAliveAt;
         std::deque<RunEvent> unacknowledged;
--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -23,17 +23,23 @@
 /// outstanding, as they may not have reached the server.
 ServerCrash analyzeCrash(std::vector<RunRecord> runs)
 {
-    const std::vector<RunRecord>::iterator firstBystander = std::partition(
+    // Reports are limited in size, so the likeliest suspects come first.
+    std::sort(runs.begin(), runs.end(), [](const RunRecord &a, const RunRecord &b) { return a.startedAt > b.startedAt; });
+    const std::vector<RunRecord>::iterator firstBystander = std::stable_partition(
         runs.begin(), runs.end(), [](const RunRecord &run) { return !run.listed && run.state != RunRecord::State::Starting; });
     const std::vector<RunRecord>::iterator suspectsEnd = firstBystander == runs.begin() ? runs.end() : firstBystander;
     ServerCrash crash;
+    std::set<TaskRef> tasks;
     std::set<QueueKey> queues;
     for (std::vector<RunRecord>::const_iterator it = runs.begin(); it != runs.end(); ++it) {
-        if (it < suspectsEnd) {
-            crash.suspects.push_back(it->ref.task);
+        if (!tasks.insert(it->ref.task).second) {
+            continue;
+        }
+        const bool suspected = it < suspectsEnd;
+        (suspected ? crash.suspects : crash.bystanders).push_back(it->ref.task);
+        // Entries of former versions don't name the queue.
+        if (suspected && it->queue != QueueKey()) {
             queues.insert(it->queue);
-        } else {
-            crash.bystanders.push_back(it->ref.task);
         }
     }
     crash.suspectQueues.assign(queues.begin(), queues.end());
@@ -221,11 +227,14 @@
 {
     std::vector<RunRecord> runs = m_unresponsiveRuns;
     for (const RunLedger::Records::value_type &entry : m_ledger.records()) {
-        if (entry.second.state != RunRecord::State::Queued && entry.second.coordinator.incarnation != Incarnation()) {
-            runs.push_back(entry.second);
+        const RunRecord &run = entry.second;
+        // Runs of which a former incarnation was lost have been reported with it.
+        if (run.state != RunRecord::State::Queued && !run.serverRestarted && run.coordinator.incarnation != Incarnation()) {
+            runs.push_back(run);
         }
     }
-    if (m_crashRecorded || runs.empty()) {
+    // A draining server ends without a crash, and its deregistration may be lost.
+    if (m_crashRecorded || m_draining || runs.empty()) {
         return;
     }
     m_crashRecorded = true;
@@ -238,7 +247,12 @@
     m_log.write(LogLevel::Warning, "server-crashed",
                 "id=" + m_serverIncarnation->id + " runs=" + std::to_string(runs.size()) + " suspects=" + suspects);
     m_crashReports.add(now, std::move(crash));
-    reportToAll(now);
+    // Clients may resubmit the jobs to any entry.
+    for (Coordinators::value_type &entry : m_coordinators) {
+        if (entry.second.session.hasReceivedMessage()) {
+            sendReport(now, entry.first, entry.second, false, !entry.second.reporting);
+        }
+    }
 }
 
 void AgentDispatch::recordAllRunsLost(TimePoint now, const char *cause)
--- a/src/core/dispatch/crash_history.cpp
+++ b/src/core/dispatch/crash_history.cpp
@@ -12,10 +12,8 @@
 constexpr std::uint32_t MaxSuspectedCrashes = 2;
 /// The same for all crashes of servers that had a run of the task, since the wrong tasks may have been suspected.
 constexpr std::uint32_t MaxCrashes = 3;
-/// A crash is repeated in an agent's reports for this long, several heartbeats.
-constexpr Duration ReportPeriod = milliseconds(1000);
 /// Clients resubmit a job for as long as they wait for its answer, and seconds after it.
-constexpr Duration Retention = seconds(30);
+constexpr Duration CrashRetention = seconds(30);
 constexpr std::size_t MaxTasksPerCrash = 64; ///< Limits the size of a report.
 constexpr std::size_t MaxRecords = 4096;
 
@@ -23,7 +21,7 @@
 
 void CrashReports::add(TimePoint now, ServerCrash &&crash)
 {
-    while (!m_records.empty() && now - m_records.front().at > Retention) {
+    while (!m_records.empty() && now - m_records.front().at > CrashRetention) {
         m_records.pop_front();
     }
     crash.number = ++m_lastNumber;
@@ -32,11 +30,11 @@
     m_records.push_back(Record{now, std::move(crash)});
 }
 
-std::vector<ServerCrash> CrashReports::reportable(TimePoint now, TimePoint contactSince) const
+std::vector<ServerCrash> CrashReports::unconfirmed(TimePoint now, TimePoint confirmedUpTo) const
 {
     std::vector<ServerCrash> crashes;
     for (const Record &record : m_records) {
-        if (now - std::max(record.at, contactSince) <= ReportPeriod && now - record.at <= Retention) {
+        if (record.at >= confirmedUpTo && now - record.at <= CrashRetention) {
             crashes.push_back(record.crash);
         }
     }
@@ -112,7 +110,7 @@
 
 void CrashHistory::expire(TimePoint now)
 {
-    while (!m_records.empty() && (now - m_records.front().at > Retention || m_records.size() > MaxRecords)) {
+    while (!m_records.empty() && (now - m_records.front().at > CrashRetention || m_records.size() > MaxRecords)) {
         updateAll(m_records.front().crash, false);
         m_known.erase(m_records.front().id);
         m_records.pop_front();
--- a/src/core/dispatch/crash_history.h
+++ b/src/core/dispatch/crash_history.h
@@ -20,9 +20,9 @@
     /// Adds a crash and numbers it.
     void add(TimePoint now, ServerCrash &&crash);
 
-    /// The crashes to include in a report to an entry that is known since `contactSince`. Reports are not acknowledged, so each
-    /// crash is repeated for a while.
-    std::vector<ServerCrash> reportable(TimePoint now, TimePoint contactSince) const;
+    /// The crashes to include in a report to an entry that has confirmed a message sent at `confirmedUpTo`. Every report contains
+    /// those that are not confirmed yet, so a confirmed message contained all crashes before it.
+    std::vector<ServerCrash> unconfirmed(TimePoint now, TimePoint confirmedUpTo) const;
 
 private:
     struct Record
--- a/src/core/dispatch/entry_runs.cpp
+++ b/src/core/dispatch/entry_runs.cpp
@@ -70,7 +70,7 @@
     }
     request.isolation = isolationOf(now, job, stepIndex, waiting);
     if (request.isolation != Isolation::None) {
-        request.isolationServers = isolationServers(m_fleet, job.queue->service);
+        request.isolationServers = isolationServers(m_fleet, job.queue->service, spec);
     }
     request.urgency = job.queue->urgency;
     request.tasks = static_cast<std::uint32_t>(waiting.size());
--- a/src/core/dispatch/queue_isolation.cpp
+++ b/src/core/dispatch/queue_isolation.cpp
@@ -22,7 +22,7 @@
 /// failure domain that crash together are no evidence against a queue.
 constexpr std::size_t MinSeparateCrashes = 3;
 constexpr Duration SeparateCrashInterval = milliseconds(100);
-/// Part of the blame for all crashes that the queue must have; suspected queues share the blame for a crash.
+/// A queue is isolated, and stays so, only with more than this part of the blame for the crashes.
 constexpr double MinBlameShare = 0.5;
 /// How long a queue stays isolated after the last crash that its tasks are suspected of.
 constexpr Duration IsolationPeriod = seconds(5);
@@ -61,11 +61,14 @@
     std::optional<std::string> added;
     for (const QueueKey queue : suspectQueues) {
         const bool isolated = isIsolated(now, service, queue);
-        if (!isolated && (!state.causesCrashes(queue, servers) || state.demandShare(now, queue) > MaxDemandShare)) {
+        const bool extended = isolated && state.blameShare(queue) > MinBlameShare;
+        const bool begun = !isolated && state.causesCrashes(queue, servers) && state.demandShare(now, queue) <= MaxDemandShare;
+        if (!extended && !begun) {
             continue;
         }
         Queue &suspect = state.queues[queue];
         suspect.isolatedUntil = now + IsolationPeriod;
+        state.isolatedUntil = now + IsolationPeriod;
         if (!isolated) {
             added = suspect.name;
         }
@@ -73,25 +76,34 @@
     return added;
 }
 
+double QueueIsolation::Service::blameShare(QueueKey queue) const
+{
+    double blame = 0;
+    for (const Crash &crash : crashes) {
+        const std::vector<QueueKey> &suspects = crash.suspectQueues;
+        if (std::find(suspects.begin(), suspects.end(), queue) != suspects.end()) {
+            blame += 1.0 / static_cast<double>(suspects.size());
+        }
+    }
+    return crashes.empty() ? 0.0 : blame / static_cast<double>(crashes.size());
+}
+
 bool QueueIsolation::Service::causesCrashes(QueueKey queue, std::size_t servers) const
 {
     std::set<Endpoint> crashedServers;
     std::size_t separateCrashes = 0;
     TimePoint lastSeparate;
-    double blame = 0;
     for (const Crash &crash : crashes) {
         crashedServers.insert(crash.server);
-        if (std::find(crash.suspectQueues.begin(), crash.suspectQueues.end(), queue) == crash.suspectQueues.end()) {
-            continue;
-        }
-        blame += 1.0 / static_cast<double>(crash.suspectQueues.size());
-        if (separateCrashes == 0 || crash.at - lastSeparate >= SeparateCrashInterval) {
+        const bool suspected =
+            std::find(crash.suspectQueues.begin(), crash.suspectQueues.end(), queue) != crash.suspectQueues.end();
+        if (suspected && (separateCrashes == 0 || crash.at - lastSeparate >= SeparateCrashInterval)) {
             ++separateCrashes;
             lastSeparate = crash.at;
         }
     }
     return separateCrashes >= MinSeparateCrashes && crashedServers.size() >= dividedUp(servers, ServersPerCrash)
-        && blame >= MinBlameShare * static_cast<double>(crashes.size());
+        && blameShare(queue) > MinBlameShare;
 }
 
 double QueueIsolation::Service::demandShare(TimePoint now, QueueKey queue) const
@@ -119,9 +131,7 @@
 bool QueueIsolation::affectsService(TimePoint now, const std::string &service) const
 {
     const std::map<std::string, Service>::const_iterator state = m_services.find(service);
-    return state != m_services.end()
-        && std::any_of(state->second.queues.begin(), state->second.queues.end(),
-                       [now](const std::pair<const QueueKey, Queue> &item) { return now < item.second.isolatedUntil; });
+    return state != m_services.end() && now < state->second.isolatedUntil;
 }
 
 void QueueIsolation::expire(TimePoint now)
@@ -139,11 +149,12 @@
     }
 }
 
-std::set<Endpoint> isolationServers(const FleetView &fleet, const std::string &service)
+std::set<Endpoint> isolationServers(const FleetView &fleet, const std::string &service, const StepSpec &step)
 {
     std::vector<std::pair<std::size_t, Endpoint>> ranked;
     for (const FleetView::Agents::value_type &item : fleet.agents()) {
-        if (item.second.service == service) {
+        const AgentView &agent = item.second;
+        if (agent.service == service && agent.hasLabel(step.requiredLabel) && step.need.fits(agent.load.capacity)) {
             ranked.emplace_back(IdHash()(item.first), item.first);
         }
     }
--- a/src/core/dispatch/queue_isolation.h
+++ b/src/core/dispatch/queue_isolation.h
@@ -59,7 +59,10 @@
     {
         std::deque<Crash> crashes; ///< Of the last few seconds, oldest first.
         std::map<QueueKey, Queue> queues;
+        TimePoint isolatedUntil; ///< The latest of all its queues.
 
+        /// The queue's part of the blame for the crashes; the suspected queues share that for a crash.
+        double blameShare(QueueKey queue) const;
         bool causesCrashes(QueueKey queue, std::size_t servers) const;
         /// The queue's part of the recent work of all queues.
         double demandShare(TimePoint now, QueueKey queue) const;
@@ -69,8 +72,8 @@
     TimePoint m_expiredAt;
 };
 
-/// The part of a service's servers that isolated queues are confined to. It does not change while servers crash and come back,
-/// and entries that know the same agents choose the same servers.
-std::set<Endpoint> isolationServers(const FleetView &fleet, const std::string &service);
+/// The part of the servers fit for a task that isolated queues are confined to. It does not change while servers crash and come
+/// back, and entries that know the same agents choose the same servers.
+std::set<Endpoint> isolationServers(const FleetView &fleet, const std::string &service, const StepSpec &step);
 
 } // namespace cuminscale::dispatch
--- a/tests/agent_dispatch_tests.cpp
+++ b/tests/agent_dispatch_tests.cpp
@@ -542,3 +542,46 @@
     REQUIRE(crashes[0].suspectQueues == std::vector<QueueKey>{queueKey("q")});
     REQUIRE(fixture.agent.counters().serverCrashes == 1);
 }
+
+TEST_CASE("One crash of a server is reported once, although its runs are settled only after its restart")
+{
+    AgentFixture fixture;
+    fixture.tickFor(milliseconds(300));
+    fixture.receiveFromEntry(fixture.makeOrder("00000000000000d2", milliseconds(100), milliseconds(90), 1));
+    fixture.agent.onStartAnswered(fixture.now, fixture.server.starts.at(0).run, StartAnswer::Accepted, fixture.serverClock());
+    // The first poll that the new incarnation answers shows the restart; then connections are refused again.
+    fixture.answerPoll(2);
+    fixture.agent.onPollAnswered(fixture.now, fixture.server.lastPollNumber, std::nullopt, PollFailure::Refused);
+    REQUIRE(fixture.agent.counters().serverCrashes == 1);
+}
+
+TEST_CASE("A draining server that ends is not taken for one that has crashed")
+{
+    // Scenario: its deregistration is lost while a long task still runs there.
+    AgentFixture fixture;
+    fixture.tickFor(milliseconds(300));
+    fixture.receiveFromEntry(fixture.makeOrder("00000000000000d3", seconds(5), milliseconds(90), 1));
+    fixture.agent.onStartAnswered(fixture.now, fixture.server.starts.at(0).run, StartAnswer::Accepted, fixture.serverClock());
+    fixture.announce(ServerIncarnation{"s", 1}, 9, true);
+    fixture.agent.onPollAnswered(fixture.now, fixture.server.lastPollNumber, std::nullopt, PollFailure::Refused);
+    REQUIRE(fixture.agent.counters().serverCrashes == 0);
+}
+
+TEST_CASE("If the suspects of a crash exceed the size of a report, those started last are in it")
+{
+    AgentFixture fixture;
+    fixture.announce(Resources{1000000, 100000, 0});
+    fixture.tickFor(milliseconds(300));
+    for (int i = 0; i < 90; ++i) {
+        fixture.now += milliseconds(1);
+        char job[17];
+        std::snprintf(job, sizeof(job), "%016x", 0xe000 + i);
+        fixture.receiveFromEntry(fixture.makeOrder(job, milliseconds(500), milliseconds(90), 1));
+        fixture.agent.onStartAnswered(fixture.now, fixture.server.starts.back().run, StartAnswer::Accepted,
+                                      fixture.serverClock());
+    }
+    const dispatch::TaskRef last = fixture.server.starts.back().run.task;
+    REQUIRE(fixture.agent.ledger().booked() == 90);
+    fixture.agent.onPollAnswered(fixture.now, fixture.server.lastPollNumber, std::nullopt, PollFailure::Refused);
+    REQUIRE(fixture.lastReport().crashes.at(0).suspects.front() == last);
+}
--- a/tests/crash_history_tests.cpp
+++ b/tests/crash_history_tests.cpp
@@ -91,14 +91,14 @@
     REQUIRE_FALSE(history.hasSuspect(task(0).job));
 }
 
-TEST_CASE("An entry that starts after a crash is told of it")
+TEST_CASE("A crash is repeated until the entry has confirmed a later message, also to entries that start after it")
 {
     CrashReports reports;
-    reports.add(at(seconds(0)), crash(0, {task(0)}));
-    REQUIRE(reports.reportable(at(milliseconds(900)), at(seconds(0))).size() == 1);
-    REQUIRE(reports.reportable(at(seconds(10)), at(seconds(0))).empty());
-    REQUIRE(reports.reportable(at(seconds(10)), at(seconds(10))).size() == 1);
-    REQUIRE(reports.reportable(at(seconds(31)), at(seconds(31))).empty());
+    reports.add(at(seconds(1)), crash(0, {task(0)}));
+    REQUIRE(reports.unconfirmed(at(seconds(10)), at(milliseconds(900))).size() == 1);
+    REQUIRE(reports.unconfirmed(at(milliseconds(1100)), at(milliseconds(1050))).empty());
+    REQUIRE(reports.unconfirmed(at(seconds(30)), TimePoint()).size() == 1);
+    REQUIRE(reports.unconfirmed(at(seconds(32)), TimePoint()).empty());
 }
 
 TEST_CASE("A queue is isolated after separate crashes of many servers and until its crashes end")
@@ -134,3 +134,48 @@
         REQUIRE_FALSE(isolation.recordCrash(at(milliseconds(200 * n)), Service, Servers, Endpoint{n, 1}, {Deadly}));
     }
 }
+
+TEST_CASE("A queue that shares the blame for all crashes equally with another is not isolated")
+{
+    QueueIsolation isolation = isolationWithShare(0.4);
+    for (std::uint32_t n = 1; n <= 6; ++n) {
+        REQUIRE_FALSE(isolation.recordCrash(at(milliseconds(200 * n)), Service, Servers, Endpoint{n, 1}, {Deadly, Other}));
+    }
+}
+
+TEST_CASE("Crashes of other queues do not extend an isolation for ever")
+{
+    QueueIsolation isolation = isolationWithShare(0.2);
+    for (std::uint32_t n = 1; n <= 3; ++n) {
+        isolation.recordCrash(at(milliseconds(200 * n)), Service, Servers, Endpoint{n, 1}, {Deadly});
+    }
+    REQUIRE(isolation.isIsolated(at(seconds(1)), Service, Deadly));
+    for (std::uint32_t n = 1; n <= 40; ++n) {
+        const std::vector<QueueKey> queues = n % 10 == 0 ? std::vector<QueueKey>{Deadly, Other} : std::vector<QueueKey>{Other};
+        isolation.recordCrash(at(milliseconds(1000 + 500 * n)), Service, 1000, Endpoint{n, 1}, queues);
+    }
+    REQUIRE_FALSE(isolation.isIsolated(at(seconds(20)), Service, Deadly));
+}
+
+TEST_CASE("Isolation servers are chosen among the servers that fit the task")
+{
+    FleetView fleet;
+    for (std::uint32_t n = 1; n <= 8; ++n) {
+        AgentView &view = *fleet.findOrAdd(Endpoint{n, 7000}, at(seconds(0)));
+        AgentReport report;
+        report.service = Service;
+        report.load.capacity = Resources{n == 8 ? 0 : 16000, 1000, 0};
+        report.load.labels = {n <= 4 ? "a" : "b"};
+        FleetView::applyReport(view, report);
+    }
+    StepSpec step;
+    step.need = Resources{1000, 10, 0};
+    REQUIRE(isolationServers(fleet, Service, step).size() == 2);
+    for (const char *label : {"a", "b"}) {
+        step.requiredLabel = label;
+        const std::set<Endpoint> servers = isolationServers(fleet, Service, step);
+        REQUIRE(servers.size() == 1);
+        REQUIRE(fleet.find(*servers.begin())->hasLabel(label));
+        REQUIRE(servers.count(Endpoint{8, 7000}) == 0);
+    }
+}
