--- a/src/core/dispatch/entry_crashes.cpp
+++ b/src/core/dispatch/entry_crashes.cpp
@@ -40,7 +40,7 @@
     }
 }
 
-bool EntryDispatch::refuseCrashingJob(ClientTag client, const JobId &id, const QueueRule &queue)
+bool EntryDispatch::refuseCrashingJob(TimePoint now, ClientTag client, const JobId &id, const QueueRule &queue)
 {
     if (!m_crashes.exceedsLimit(id)) {
         return false;
@@ -48,6 +48,7 @@
     ++m_counters.crashingJobs;
     m_log.write(LogLevel::Warning, "job-ended",
                 "job=" + idText(id) + " queue=" + queue.name + " answer=failed reason=crashes-servers");
+    recordEndedJob(now, id, JobStatus::State::Failed);
     m_clients.answer(client, JobOutcome::Failed, "crashes-servers", Duration(0));
     return true;
 }
@@ -95,13 +96,13 @@
     if (m_isolation.isIsolated(now, job.queue->service, queueKey(job.queue->name))) {
         return Isolation::Confined;
     }
-    const bool epidemic = m_isolation.affectsService(now, job.queue->service);
+    const bool serversCrash = m_isolation.affectsService(now, job.queue->service);
     for (const std::uint32_t task : tasks) {
         if (m_crashes.isSuspect(TaskRef{job.id, 0, stepIndex, task})) {
-            return epidemic ? Isolation::Confined : Isolation::Preferred;
+            return serversCrash ? Isolation::Confined : Isolation::Preferred;
         }
     }
-    return epidemic ? Isolation::Outside : Isolation::None;
+    return serversCrash ? Isolation::Outside : Isolation::None;
 }
 
 } // namespace cuminscale::dispatch
--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -202,7 +202,7 @@
     default:
         break;
     }
-    if (refuseCrashingJob(client, id, *queue)) {
+    if (refuseCrashingJob(now, client, id, *queue)) {
         return;
     }
     if (const Endpoint *remote = remoteCoordinator(now, id)) {
@@ -363,27 +363,28 @@
     }
     job.clients.clear();
     const JobStatus::State state = stateAfter(answer);
-    recordEndedJob(now, job, state);
+    EndedJob &ended = recordEndedJob(now, job.id, state);
+    for (const StepState &step : job.steps) {
+        for (const TaskState &task : step.tasks) {
+            ended.highestRun = std::max(ended.highestRun, task.run);
+        }
+    }
     // Entries that are told of a refusal submit the job anew, so they must not learn of it before its runs have stopped.
     if (state != JobStatus::State::Refused || !anyOutstanding(job)) {
         notifyJoinedEntries(now, job);
     }
 }
 
-void EntryDispatch::recordEndedJob(TimePoint now, const Job &job, JobStatus::State state)
+EntryDispatch::EndedJob &EntryDispatch::recordEndedJob(TimePoint now, const JobId &id, JobStatus::State state)
 {
-    EndedJob &ended = m_endedJobs[job.id];
-    ended.state = state;
-    ended.endedAt = now;
-    for (const StepState &step : job.steps) {
-        for (const TaskState &task : step.tasks) {
-            ended.highestRun = std::max(ended.highestRun, task.run);
-        }
-    }
-    m_endedOrder.emplace_back(now, job.id);
-    while (m_endedOrder.size() > m_settings.timing.maxEndedJobs) {
+    while (m_endedOrder.size() >= m_settings.timing.maxEndedJobs) {
         evictOldestEndedJob();
     }
+    m_endedOrder.emplace_back(now, id);
+    EndedJob &ended = m_endedJobs[id];
+    ended.state = state;
+    ended.endedAt = now;
+    return ended;
 }
 
 void EntryDispatch::evictOldestEndedJob()
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -264,7 +264,7 @@
     void notifyJoinedEntries(TimePoint now, Job &job);
     /// Answers and removes an ended job once none of its runs is outstanding; clients that resubmitted it start it anew.
     void closeIfNoRunsLeft(TimePoint now, JobId id);
-    void recordEndedJob(TimePoint now, const Job &job, JobStatus::State state);
+    EndedJob &recordEndedJob(TimePoint now, const JobId &id, JobStatus::State state);
     void evictOldestEndedJob();
     /// Sends due heartbeats, acknowledgements and configurations, replaces broken connections and removes expired agents.
     void maintainAgents(TimePoint now);
@@ -297,7 +297,7 @@
     /// Records a crash of a server, and ends the jobs of which a task is now suspected of too many.
     void handleServerCrash(TimePoint now, const ProcessId &agent, const std::string &service, const ServerCrash &crash);
     /// Answers the client of a job that has crashed too many servers. Returns false for other jobs.
-    bool refuseCrashingJob(ClientTag client, const JobId &id, const QueueRule &queue);
+    bool refuseCrashingJob(TimePoint now, ClientTag client, const JobId &id, const QueueRule &queue);
     /// The waiting tasks of a step that may be placed now. The tasks of a job are alike: after a crash of which one of them is
     /// suspected, one suspect is tried first, and the others wait until a suspect has completed.
     std::vector<std::uint32_t> tasksToPlace(const Job &job, std::uint32_t stepIndex) const;
