A job whose coordinator has restarted is not started elsewhere while its former runs are being stopped

Cause: an entry forgot the active jobs of another one as soon as that one's new incarnation sent its first, empty report, and took its answer "unknown" to a join request as leave to start the job. The agents stop the runs of the former incarnation only when they hear of the new one, or 700 ms after the last message. The 1.3 s that a client waits don't cover it if its connection broke before the coordinator was killed.

Change: the active jobs of the former incarnation count until coordinatorTimeout after its last message, as those of a silent entry do. Until then, "unknown" and "refused" leave the join request pending, and it is repeated.

--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -197,6 +197,9 @@
         PeerSession session;
         std::string domain; ///< Empty until it is known.
         std::unordered_set<JobKey, IdHash> activeJobs;
+        /// Jobs of former incarnations, whose runs the agents may not have stopped yet, with the time until which the entry still
+        /// counts as their coordinator.
+        std::unordered_map<JobKey, TimePoint, IdHash> formerJobs;
         EntryListState entryList;
         bool fromSettings = false; ///< Configured entries never expire.
         TimePoint heartbeatSentAt; ///< Tracked apart from other messages, as only heartbeats list the active jobs.
@@ -291,6 +294,10 @@
     std::vector<EntryAddress> knownEntries() const;
     /// Whether a run of the job may start without the risk that another entry coordinates the job too.
     bool mayStart(TimePoint now, const Job &job) const;
+    /// Keeps the active jobs of the previous incarnation of an entry, which was last heard at the given time.
+    void keepFormerJobs(TimePoint now, TimePoint lastHeardAt, EntryPeer &entry) const;
+    /// Whether a former incarnation of the entry may still have runs of the job.
+    static bool mayHaveFormerRuns(TimePoint now, const EntryPeer &entry, const JobId &id);
     /// The other entry that coordinates the job; null if there is none or it is silent.
     const Endpoint *remoteCoordinator(TimePoint now, const JobId &id) const;
     void refuse(TimePoint now, ClientTag client, const JobId &id, const QueueRule &queue, const char *reason);
--- a/src/core/dispatch/entry_joined_jobs.cpp
+++ b/src/core/dispatch/entry_joined_jobs.cpp
@@ -11,13 +11,28 @@
 {
     for (const std::pair<const Endpoint, EntryPeer> &entry : m_entries) {
         const bool live = entry.second.session.silence(now) < m_settings.timing.coordinatorTimeout;
-        if (live && entry.second.activeJobs.count(id.key()) > 0) {
+        if ((live && entry.second.activeJobs.count(id.key()) > 0) || mayHaveFormerRuns(now, entry.second, id)) {
             return &entry.first;
         }
     }
     return nullptr;
 }
 
+void EntryDispatch::keepFormerJobs(TimePoint now, TimePoint lastHeardAt, EntryPeer &entry) const
+{
+    std::erase_if(entry.formerJobs, [now](const std::pair<const JobKey, TimePoint> &job) { return job.second <= now; });
+    for (const JobKey &job : entry.activeJobs) {
+        entry.formerJobs[job] = lastHeardAt + m_settings.timing.coordinatorTimeout;
+    }
+    entry.activeJobs.clear();
+}
+
+bool EntryDispatch::mayHaveFormerRuns(TimePoint now, const EntryPeer &entry, const JobId &id)
+{
+    const std::unordered_map<JobKey, TimePoint, IdHash>::const_iterator it = entry.formerJobs.find(id.key());
+    return it != entry.formerJobs.end() && now < it->second;
+}
+
 void EntryDispatch::joinRemoteJob(TimePoint now, const Endpoint &coordinator, const WaitingClient &client,
                                   const std::shared_ptr<const QueueRule> &queue, const JobId &id,
                                   const std::shared_ptr<const JobSpec> &spec)
@@ -59,9 +74,15 @@
     if (it == m_joinedJobs.end() || status.state == JobStatus::State::Active) {
         return;
     }
+    const std::map<Endpoint, EntryPeer>::iterator coordinator = m_entries.find(it->second.coordinator);
+    // After a restart, the coordinator knows nothing of its former jobs while the agents still stop their runs. A client whose
+    // connection broke before the restart may have resubmitted by then; the join request is repeated until the runs have stopped.
+    const bool startsHere = status.state == JobStatus::State::Unknown || status.state == JobStatus::State::Refused;
+    if (startsHere && coordinator != m_entries.end() && mayHaveFormerRuns(now, coordinator->second, status.job)) {
+        return;
+    }
     const JoinedJob joined = std::move(it->second);
     m_joinedJobs.erase(it);
-    const std::map<Endpoint, EntryPeer>::iterator coordinator = m_entries.find(joined.coordinator);
     if (coordinator != m_entries.end()) {
         coordinator->second.activeJobs.erase(status.job.key());
     }
--- a/src/core/dispatch/entry_peers.cpp
+++ b/src/core/dispatch/entry_peers.cpp
@@ -92,9 +92,14 @@
         return;
     }
     EntryPeer &entry = it->second;
-    if (entry.session.receive(envelope, m_settings.self.incarnation, now) == PeerSession::Arrival::Outdated) {
+    const TimePoint lastHeardAt = now - entry.session.silence(now);
+    const PeerSession::Arrival arrival = entry.session.receive(envelope, m_settings.self.incarnation, now);
+    if (arrival == PeerSession::Arrival::Outdated) {
         return;
     }
+    if (arrival == PeerSession::Arrival::NewIncarnation) {
+        keepFormerJobs(now, lastHeardAt, entry);
+    }
     if (const EntryReport *report = std::get_if<EntryReport>(&envelope.message)) {
         entry.activeJobs = std::unordered_set<JobKey, IdHash>(report->activeJobs.begin(), report->activeJobs.end());
         entry.domain = report->domain;
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -195,6 +195,42 @@
     REQUIRE(fixture.links.messagesTo<JobStatus>(OtherEntry.endpoint).back().state == JobStatus::State::Refused);
 }
 
+TEST_CASE("A job whose coordinator has restarted is not started elsewhere while its former runs may not have stopped")
+{
+    // Scenario: the connection of a client breaks, the entry is killed a second later and restarts within 200 ms, and the client
+    // resubmits to another entry. The new incarnation does not know the job, whose run the agents are still stopping.
+    const bool resubmittedBeforeRestart = GENERATE(true, false);
+    EntryFixture fixture;
+    const Duration coordinatorTimeout = EntryFixture::settings().timing.coordinatorTimeout;
+    fixture.otherReport.activeJobs = {Job1.key()};
+    fixture.runFor(milliseconds(300));
+    const TimePoint lastHeardAt = fixture.now;
+    if (resubmittedBeforeRestart) {
+        fixture.submit(1, seconds(4));
+    }
+    const auto receiveFromNewIncarnation = [&fixture](dispatch::Message &&message) {
+        dispatch::Envelope envelope = fixture.envelopeFrom(OtherEntry, std::move(message));
+        envelope.from.incarnation = Incarnation(OtherEntry.incarnation.value() + 1);
+        fixture.entry.onMessage(fixture.now, envelope);
+    };
+    fixture.now += milliseconds(200);
+    receiveFromNewIncarnation(EntryReport());
+    if (!resubmittedBeforeRestart) {
+        fixture.submit(1, seconds(4));
+    }
+    while (fixture.now + milliseconds(15) < lastHeardAt + coordinatorTimeout) {
+        fixture.now += milliseconds(15);
+        fixture.receiveReport({});
+        receiveFromNewIncarnation(EntryReport());
+        receiveFromNewIncarnation(JobStatus{Job1, JobStatus::State::Unknown});
+        fixture.entry.onTick(fixture.now);
+        REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).empty());
+    }
+    fixture.now = lastHeardAt + coordinatorTimeout;
+    receiveFromNewIncarnation(JobStatus{Job1, JobStatus::State::Unknown});
+    REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).size() == 1);
+}
+
 TEST_CASE("A client of a joined job whose deadline has passed is answered and its job is not run with another deadline")
 {
     EntryFixture fixture;
