Names and counts of the change read once more

Cause: a reading of the change: unsigned counts that were decreased by wrapping, a name that no longer said what it asked, a comment on the shutdown that promised more than the code does. Change: signed counts, HttpApi::hasUnfinishedRequests, the comment.

--- a/src/core/dispatch/crash_history.cpp
+++ b/src/core/dispatch/crash_history.cpp
@@ -9,9 +9,9 @@
 {
 
 /// Crashes that a task is suspected of after which it is not started again. One may be a coincidence.
-constexpr std::uint32_t MaxSuspectedCrashes = 2;
+constexpr std::int32_t MaxSuspectedCrashes = 2;
 /// The same for all crashes of servers that had a run of the task, since the wrong tasks may have been suspected.
-constexpr std::uint32_t MaxCrashes = 3;
+constexpr std::int32_t MaxCrashes = 3;
 /// Clients resubmit a job for as long as they wait for its answer, and seconds after it.
 constexpr Duration CrashRetention = seconds(30);
 constexpr std::size_t MaxTasksPerCrash = 64; ///< Limits the size of a report.
@@ -66,17 +66,17 @@
 {
     TaskCrashes &crashes = m_crashesByTask[task];
     JobCrashes &job = m_crashesByJob[task.job];
-    const auto addTo = [&](std::uint32_t sign) {
+    const auto addToJob = [&](std::int32_t sign) {
         job.tasks += crashes.all > 0 ? sign : 0;
         job.suspects += crashes.suspected > 0 ? sign : 0;
         job.overLimit += exceedsLimit(crashes) ? sign : 0;
     };
     // The task leaves the counts of its job with its old numbers and enters them with the new ones.
-    addTo(-1U);
-    const std::uint32_t step = add ? 1U : -1U;
+    addToJob(-1);
+    const std::int32_t step = add ? 1 : -1;
     crashes.all += step;
     crashes.suspected += suspected ? step : 0;
-    addTo(1U);
+    addToJob(1);
     if (crashes.all == 0) {
         m_crashesByTask.erase(task);
     }
--- a/src/core/dispatch/crash_history.h
+++ b/src/core/dispatch/crash_history.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <set>
 #include <unordered_map>
-#include <unordered_set>
 
 namespace cuminscale::dispatch
 {
@@ -68,16 +67,16 @@
     /// Crashes of servers that had a run of one task.
     struct TaskCrashes
     {
-        std::uint32_t suspected = 0;
-        std::uint32_t all = 0;
+        std::int32_t suspected = 0;
+        std::int32_t all = 0;
     };
 
     /// Numbers of tasks of one job.
     struct JobCrashes
     {
-        std::uint32_t tasks = 0; ///< All tasks that had a run on a server that crashed.
-        std::uint32_t suspects = 0;
-        std::uint32_t overLimit = 0;
+        std::int32_t tasks = 0; ///< All tasks that had a run on a server that crashed.
+        std::int32_t suspects = 0;
+        std::int32_t overLimit = 0;
     };
 
     static bool exceedsLimit(const TaskCrashes &crashes) noexcept;
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -108,7 +108,8 @@
 bool EntryProcess::shutdownDone(TimePoint time)
 {
     const Duration since = time - m_shutdownRequestedAt;
-    // A load balancer without another entry that is ready sends new connections here to the end.
+    // A load balancer without another entry that is ready sends new connections here until they are refused. The entry stops
+    // accepting in the first moment without an unanswered request, or when the jobs have ended.
     const bool jobsEnded = since >= m_settings.stopGrace - JobEndMargin;
     if ((since < BalancerReactionTime || m_dispatch->unanswered() > 0) && !jobsEnded) {
         return false;
--- a/src/daemon/http_api.cpp
+++ b/src/daemon/http_api.cpp
@@ -68,7 +68,7 @@
     }
 }
 
-bool HttpApi::hasRequestInProgress() const
+bool HttpApi::hasUnfinishedRequests() const
 {
     return !m_pendingRequests.empty() || (m_callerServer && m_callerServer->hasConnections());
 }
--- a/src/daemon/http_api.h
+++ b/src/daemon/http_api.h
@@ -41,7 +41,7 @@
     void finishDraining();
 
     /// Whether a caller's request waits for the core's reply, is being received, or its response is being sent.
-    bool hasRequestInProgress() const;
+    bool hasUnfinishedRequests() const;
 
 private:
     /// How the core's reply is rendered.
--- a/src/daemon/process.cpp
+++ b/src/daemon/process.cpp
@@ -179,7 +179,7 @@
         std::promise<bool> inProgress;
         boost::asio::post(m_httpThread.context(), [this, &inProgress]() {
             m_httpApi->finishDraining();
-            inProgress.set_value(m_httpApi->hasRequestInProgress());
+            inProgress.set_value(m_httpApi->hasUnfinishedRequests());
         });
         if (!inProgress.get_future().get()) {
             break;
