The soak closes its stand-ins after each seed

Cause: the threads of the stand-ins of all former seeds ran on in the tool's process. Change: servers and store of a seed are closed at its end.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -292,6 +292,11 @@
                     child.send_signal(signal.SIGCONT)
                     child.kill()
                     child.wait()
+            # The threads of the stand-ins would otherwise delay those of the next seeds.
+            for standin in soak.servers + [soak.store]:
+                standin.closed = True
+                standin.http.shutdown()
+                standin.http.server_close()
         succeeded = sum(1 for status in results if status == 200)
         print("seed %d: %d of %d jobs succeeded, %d starts, %s faults"
               % (seed, succeeded, len(results), soak.checker.starts, sum(soak.fault_counts.values())), flush=True)
