A job is not failed for a crash that its task may not have been part of

The run had not begun, but counted as the second crash. Change: suspects whose start had no answer are reported apart.

--- a/src/adapters/dispatch_codec.cpp
+++ b/src/adapters/dispatch_codec.cpp
@@ -112,6 +112,9 @@
             for (const TaskRef &task : crash.suspects) {
                 toWire(RunRef{task, RunNumber()}, added->add_suspects());
             }
+            for (const TaskRef &task : crash.unanswered) {
+                toWire(RunRef{task, RunNumber()}, added->add_unanswered());
+            }
             for (const TaskRef &task : crash.bystanders) {
                 toWire(RunRef{task, RunNumber()}, added->add_bystanders());
             }
@@ -274,6 +277,9 @@
         for (const wire::Run &suspect : crash.suspects()) {
             decoded.suspects.push_back(decodeRunRef(suspect).task);
         }
+        for (const wire::Run &task : crash.unanswered()) {
+            decoded.unanswered.push_back(decodeRunRef(task).task);
+        }
         for (const wire::Run &bystander : crash.bystanders()) {
             decoded.bystanders.push_back(decodeRunRef(bystander).task);
         }
--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -36,12 +36,17 @@
             continue;
         }
         const bool suspected = it < suspectsEnd;
-        (suspected ? crash.suspects : crash.bystanders).push_back(it->ref.task);
+        const bool answered = it->state != RunRecord::State::StartUnknown && it->state != RunRecord::State::Starting;
+        (!suspected ? crash.bystanders : (answered ? crash.suspects : crash.unanswered)).push_back(it->ref.task);
         // Entries of former versions don't name the queue.
         if (suspected && it->queue != QueueKey()) {
             queues.insert(it->queue);
         }
     }
+    // The only suspect must have begun, as nothing else explains the crash.
+    if (crash.suspects.empty() && crash.unanswered.size() == 1) {
+        std::swap(crash.suspects, crash.unanswered);
+    }
     crash.suspectQueues.assign(queues.begin(), queues.end());
     return crash;
 }
@@ -241,8 +246,10 @@
     ++m_counters.serverCrashes;
     ServerCrash crash = analyzeCrash(runs);
     std::string suspects;
-    for (const TaskRef &task : crash.suspects) {
-        suspects += (suspects.empty() ? "" : ",") + toString(task);
+    for (const std::vector<TaskRef> *tasks : {&crash.suspects, &crash.unanswered}) {
+        for (const TaskRef &task : *tasks) {
+            suspects += (suspects.empty() ? "" : ",") + toString(task);
+        }
     }
     m_log.write(LogLevel::Warning, "server-crashed",
                 "id=" + m_serverIncarnation->id + " runs=" + std::to_string(runs.size()) + " suspects=" + suspects);
--- a/src/core/dispatch/crash_history.h
+++ b/src/core/dispatch/crash_history.h
@@ -67,7 +67,8 @@
     /// Crashes of servers that had a run of one task.
     struct TaskCrashes
     {
-        std::int32_t suspected = 0;
+        std::int32_t suspected = 0; ///< With a start that the server had confirmed.
+        std::int32_t unanswered = 0; ///< As a suspect whose start had no answer.
         std::int32_t all = 0;
     };
 
@@ -81,7 +82,7 @@
 
     static bool exceedsLimit(const TaskCrashes &crashes) noexcept;
     /// Adds a crash under one task, or removes it.
-    void update(const TaskRef &task, bool suspected, bool add);
+    void update(const TaskRef &task, std::int32_t TaskCrashes::*counter, bool add);
     void updateAll(const ServerCrash &crash, bool add);
 
     std::deque<Record> m_records; ///< Oldest first.
--- a/src/core/dispatch/entry_crashes.cpp
+++ b/src/core/dispatch/entry_crashes.cpp
@@ -13,7 +13,8 @@
         return;
     }
     m_log.write(LogLevel::Info, "server-crash-reported",
-                "agent=" + toString(agent.endpoint) + " suspects=" + std::to_string(crash.suspects.size())
+                "agent=" + toString(agent.endpoint)
+                    + " suspects=" + std::to_string(crash.suspects.size() + crash.unanswered.size())
                     + " bystanders=" + std::to_string(crash.bystanders.size()));
     const std::ptrdiff_t servers =
         std::count_if(m_fleet.agents().begin(), m_fleet.agents().end(),
@@ -26,7 +27,7 @@
                     "service=" + service + " queue=" + *isolated + " servers=" + std::to_string(servers));
     }
     std::set<JobId> jobs;
-    for (const std::vector<TaskRef> *tasks : {&crash.suspects, &crash.bystanders}) {
+    for (const std::vector<TaskRef> *tasks : {&crash.suspects, &crash.unanswered, &crash.bystanders}) {
         for (const TaskRef &task : *tasks) {
             jobs.insert(task.job);
         }
--- a/src/core/dispatch/messages.h
+++ b/src/core/dispatch/messages.h
@@ -69,6 +69,8 @@
 {
     std::uint64_t number = 0; ///< Sequence number of the crashes that this incarnation of the agent has noticed.
     std::vector<TaskRef> suspects; ///< Tasks whose runs had just been started: one of them has probably caused it.
+    /// Suspects whose start request had no answer: their runs may not have begun when the server crashed.
+    std::vector<TaskRef> unanswered;
     std::vector<TaskRef> bystanders; ///< The other tasks that had a run on the server.
     std::vector<QueueKey> suspectQueues; ///< The queues of the suspects, each once.
 };
--- a/tests/agent_dispatch_tests.cpp
+++ b/tests/agent_dispatch_tests.cpp
@@ -538,6 +538,7 @@
     const std::vector<ServerCrash> crashes = fixture.lastReport().crashes;
     REQUIRE(crashes.size() == 1);
     REQUIRE(crashes[0].suspects == std::vector<dispatch::TaskRef>{suspect.task});
+    REQUIRE(crashes[0].unanswered.empty());
     REQUIRE(crashes[0].bystanders == std::vector<dispatch::TaskRef>{listed.task});
     REQUIRE(crashes[0].suspectQueues == std::vector<QueueKey>{queueKey("q")});
     REQUIRE(fixture.agent.counters().serverCrashes == 1);
