--- a/src/adapters/http_server.h
+++ b/src/adapters/http_server.h
@@ -75,8 +75,8 @@
     /// received. Connections on which a request is being received or answered remain until their response has been sent.
     void closeIdleConnections();
 
-    /// Whether a connection is open. After closeIdleConnections(), that is one with a request in progress, or one that is about to
-    /// be closed.
+    /// Whether a connection is open. After closeIdleConnections(), that is one with a request in progress, or one that is about
+    /// to be closed.
     bool hasConnections() const;
 
 private:
