--- a/src/adapters/http_server.cpp
+++ b/src/adapters/http_server.cpp
@@ -64,6 +64,9 @@
     /// Closes the connection, unless a request is in progress.
     void closeIfIdle();
 
+    /// Whether the client has closed or reset the connection and no further data of it is waiting.
+    bool endedByClient();
+
 private:
     class Exchange;
 
@@ -112,6 +115,15 @@
     return m_stream.socket().available(ec) > 0 && !ec;
 }
 
+bool Session::endedByClient()
+{
+    char next = 0;
+    beast::error_code ec;
+    m_stream.socket().non_blocking(true, ec);
+    m_stream.socket().receive(asio::buffer(&next, 1), tcp::socket::message_peek, ec);
+    return ec && ec != asio::error::would_block && ec != asio::error::try_again;
+}
+
 void Session::read()
 {
     m_idle = true;
@@ -164,6 +176,7 @@
     request.method = std::string(message.method_string());
     request.target = std::string(message.target());
     request.body = std::move(message.body());
+    request.connectionEnded = endedByClient();
     for (const http::fields::value_type &field : message.base()) {
         request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
     }
--- a/src/adapters/http_types.h
+++ b/src/adapters/http_types.h
@@ -17,6 +17,9 @@
     std::string target;
     std::string body;
     std::vector<HttpHeader> headers;
+    /// Server only: the client had closed or reset the connection before the request was read from it. It may have sent the
+    /// request again on another connection.
+    bool connectionEnded = false;
 
     /// Returns the value of the first header with this name (case-insensitive), or an empty string if there is none.
     std::string header(std::string_view name) const;
--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -71,6 +71,7 @@
     , m_links(links)
     , m_clients(clients)
     , m_log(log)
+    , m_startedAt(now)
     , m_lastTickAt(now)
 {
     for (const Endpoint &entry : m_settings.entries) {
@@ -274,6 +275,8 @@
     const ClientTag client = job.clients.front();
     Job &stored = m_jobs.insert_or_assign(id, std::move(job)).first->second;
     m_clientJobs[client] = id;
+    m_log.write(LogLevel::Info, "job-admitted",
+                "job=" + idText(id) + " patience_ms=" + ms(stored.clientDeadline - now) + " " + describePeers(now));
     unblockSteps(stored);
     for (std::uint32_t i = 0; i < stored.steps.size(); ++i) {
         if (stored.spec->steps[i].after.empty() && !placeStep(now, stored, i)) {
@@ -442,6 +445,12 @@
     }
 }
 
+void EntryDispatch::recordAbandoned(const JobId &id)
+{
+    ++m_counters.abandoned;
+    m_log.write(LogLevel::Info, "job-abandoned", "job=" + idText(id) + " reason=connection-ended-before-reading");
+}
+
 void EntryDispatch::setShutdownDeadline(TimePoint deadline)
 {
     m_shutdownDeadline = deadline;
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -84,6 +84,7 @@
     std::uint64_t refusedLater = 0; ///< After admission, with no run started.
     std::uint64_t refusedUnread = 0; ///< Before parsing, under CPU overload.
     std::uint64_t clientsGone = 0; ///< Jobs ended because all their clients disconnected.
+    std::uint64_t abandoned = 0; ///< Submissions read from a connection that the client had closed or reset before.
     std::uint64_t cancelled = 0;
     std::uint64_t runsOrdered = 0;
     std::uint64_t runsHandedBack = 0; ///< Reported by the agent as RunEnd::NeverStarted.
@@ -118,6 +119,9 @@
                 const std::shared_ptr<const JobSpec> &spec, Duration clientTimeout);
     void onClientDisconnected(TimePoint now, ClientTag client);
 
+    /// Counts and logs a submission that was read from a connection that its client had closed or reset before.
+    void recordAbandoned(const JobId &id);
+
     /// Limits the deadlines of all jobs, including later ones, to the end of an orderly shutdown: what can't be completed by then
     /// is refused on arrival, and what is still running is given up and answered then.
     void setShutdownDeadline(TimePoint deadline);
@@ -203,6 +207,7 @@
         EntryListState entryList;
         bool fromSettings = false; ///< Configured entries never expire.
         TimePoint heartbeatSentAt; ///< Tracked apart from other messages, as only heartbeats list the active jobs.
+        TimePoint listReceivedAt; ///< When its latest list of active jobs arrived; zero if none has.
     };
 
     /// A job that another entry coordinates and that clients of this entry wait for.
@@ -269,6 +274,8 @@
     void closeIfNoRunsLeft(TimePoint now, JobId id);
     EndedJob &recordEndedJob(TimePoint now, const JobId &id, JobStatus::State state);
     void evictOldestEndedJob();
+    /// For the log: how many other entries are heard, and the greatest age of their latest lists of active jobs.
+    std::string describePeers(TimePoint now) const;
     /// Sends due heartbeats, acknowledgements and configurations, replaces broken connections and removes expired agents.
     void maintainAgents(TimePoint now);
     /// The same for the other entries.
@@ -335,6 +342,7 @@
     TimePoint m_agentContactAt; ///< When an agent last confirmed the receipt of a recent message.
     TimePoint m_agentContactSince; ///< Start of the period without a gap longer than agentTimeout in such confirmations.
     TimePoint m_overdueUpdatedAt;
+    TimePoint m_startedAt;
     TimePoint m_lastTickAt;
     TimePoint m_resumedAt; ///< End of the last process pause.
     TimePoint m_shutdownDeadline = TimePoint::max(); ///< No job continues beyond it.
--- a/src/core/dispatch/entry_peers.cpp
+++ b/src/core/dispatch/entry_peers.cpp
@@ -99,9 +99,11 @@
     }
     if (arrival == PeerSession::Arrival::NewIncarnation) {
         keepFormerJobs(now, lastHeardAt, entry);
+        entry.listReceivedAt = TimePoint();
     }
     if (const EntryReport *report = std::get_if<EntryReport>(&envelope.message)) {
         entry.activeJobs = std::unordered_set<JobKey, IdHash>(report->activeJobs.begin(), report->activeJobs.end());
+        entry.listReceivedAt = now;
         entry.domain = report->domain;
         for (const EntryAddress &known : report->entries) {
             addEntries(now, {known.endpoint});
@@ -123,6 +125,20 @@
     }
 }
 
+std::string EntryDispatch::describePeers(TimePoint now) const
+{
+    std::size_t heard = 0;
+    Duration oldest{0};
+    for (const std::pair<const Endpoint, EntryPeer> &entry : m_entries) {
+        if (entry.second.listReceivedAt != TimePoint()) {
+            ++heard;
+            oldest = std::max(oldest, now - entry.second.listReceivedAt);
+        }
+    }
+    return "entries_heard=" + std::to_string(heard) + " entries_known=" + std::to_string(m_entries.size())
+        + " oldest_list_ms=" + ms(oldest) + " up_ms=" + ms(now - m_startedAt);
+}
+
 void EntryDispatch::sendToAgent(TimePoint now, AgentView &agent, Message &&message)
 {
     Envelope envelope = agent.session.makeEnvelope(m_settings.self, true, now, std::move(message));
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -150,6 +150,7 @@
         {"jobs_refused_unread", counters.refusedUnread},
         {"jobs_cancelled", counters.cancelled},
         {"clients_gone", counters.clientsGone},
+        {"jobs_abandoned", counters.abandoned},
         {"runs_ordered", counters.runsOrdered},
         {"runs_handed_back", counters.runsHandedBack},
         {"runs_failed", counters.runsFailed},
