A request that is read after its connection was reset starts nothing

What callers saw: two runs of one task within milliseconds of each other after connections had been reset. Cause: a client whose connection is reset before anyone has read its request sends it to another entry at once, not after 1.3 s. The first entry still finds the request in its receive buffer, up to 0.4 s later when it is short of processor time, submits it, and gives it up when it then sees that the client is gone: by then its tasks run beside those of the second entry.

Such a job is not submitted: its client can't get the answer, and whether the job runs elsewhere is not known here (504). Cancellations still apply.

--- a/tests/http_server_tests.cpp
+++ b/tests/http_server_tests.cpp
@@ -1,5 +1,6 @@
 #include "adapters/http_server.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -23,7 +24,10 @@
 public:
     HttpServerFixture()
         : server(context, Endpoint{Loopback, 0}, HttpLimits(),
-                 [this](HttpRequest &&, const std::shared_ptr<HttpExchange> &exchange) { exchanges.push_back(exchange); })
+                 [this](HttpRequest &&request, const std::shared_ptr<HttpExchange> &exchange) {
+                     requests.push_back(std::move(request));
+                     exchanges.push_back(exchange);
+                 })
     { }
 
     tcp::socket connect()
@@ -71,6 +75,7 @@
     }
 
     boost::asio::io_context context;
+    std::vector<HttpRequest> requests;
     std::vector<std::shared_ptr<HttpExchange>> exchanges;
     HttpServer server;
 };
@@ -196,3 +201,33 @@
         REQUIRE(contains(fixture.receive(client), "200 OK"));
     }
 }
+
+TEST_CASE("A request that is read after its client has closed or reset the connection is marked")
+{
+    HttpServerFixture fixture;
+    tcp::socket open = fixture.connect();
+    tcp::socket closed = fixture.connect();
+    tcp::socket reset = fixture.connect();
+    for (tcp::socket *client : {&open, &closed, &reset}) {
+        boost::asio::write(*client, boost::asio::buffer(Request));
+    }
+    closed.close();
+    reset.set_option(boost::asio::socket_base::linger(true, 0));
+    reset.close();
+    fixture.settle();
+    // The operating system may drop a request together with its connection.
+    REQUIRE(fixture.requests.size() >= 2);
+    const std::ptrdiff_t marked =
+        std::count_if(fixture.requests.begin(), fixture.requests.end(), [](const HttpRequest &it) { return it.connectionEnded; });
+    REQUIRE(marked + 1 == static_cast<std::ptrdiff_t>(fixture.requests.size()));
+}
+
+TEST_CASE("A request that is followed by further data on an open connection is not marked as ended")
+{
+    HttpServerFixture fixture;
+    tcp::socket client = fixture.connect();
+    boost::asio::write(client, boost::asio::buffer(Request + Request));
+    fixture.settle();
+    REQUIRE(fixture.requests.size() == 1);
+    REQUIRE_FALSE(fixture.requests.front().connectionEnded);
+}
--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -69,12 +69,14 @@
         gateway.setDispatch(entry);
     }
 
-    unsigned sendRequest(const std::string &method, const std::string &target, const std::string &body = "")
+    unsigned sendRequest(const std::string &method, const std::string &target, const std::string &body = "",
+                         bool connectionEnded = false)
     {
         HttpRequest request;
         request.method = method;
         request.target = target;
         request.body = body;
+        request.connectionEnded = connectionEnded;
         request.headers.emplace_back("Host", "a.example:80");
         const std::shared_ptr<RecordingExchange> exchange = std::make_shared<RecordingExchange>();
         gateway.handle(std::move(request), exchange);
@@ -367,6 +369,18 @@
     REQUIRE(fixture.lastExchange->responses.front().header("Retry-After") == "1");
 }
 
+TEST_CASE("A job is not submitted if its client has reset the connection and sent the job to another entry")
+{
+    EntryWithoutAgents fixture;
+    fixture.configure();
+    const std::string job = R"({"spec":"s","best_effort":true,"steps":[{"count":1,"cpu":10,"estimate_ms":5}]})";
+    REQUIRE(fixture.sendRequest("POST", "/jobs/0123456789abcdef", job, true) == 504);
+    REQUIRE(fixture.entry.counters().submitted == 0);
+    REQUIRE(fixture.entry.counters().abandoned == 1);
+    // A cancellation still applies, although nobody reads the answer.
+    REQUIRE(fixture.sendRequest("DELETE", "/jobs/0123456789abcdef", "", true) == 410);
+}
+
 TEST_CASE("Announcements with a missing or mistyped field are rejected")
 {
     const std::string good = R"({"service":"svc","address":"10.0.0.1:80","zone":"z","version":"v1","slots":8,"state":"ready",
