Simulation: faults after which two entries may coordinate one job

Clients rarely submit a job again while its first run lives, entries are cut from all other processes at once, and a request that lies unread at an entry can't lose its connection. Change: SimulationSettings::coordinationFaults, off by default: connections that break several times a job, with the job submitted to another entry after 1.3 s; requests that lie unread while their connection is reset, with the job submitted elsewhere at once (readsEndedConnections: the entry submits them nevertheless); entries that restart and are asked at once, and that others reach later; cuts between entries, and between single entries and agents, in one or both directions, which lose or hold messages; pauses; silent connections. They draw from a random sequence of their own. The time that a run takes to stop is a setting. Violations and, with the faults, submissions and lost connections are logged; runs are logged by server.

--- a/tests/dispatch_simulation.cpp
+++ b/tests/dispatch_simulation.cpp
@@ -15,7 +15,6 @@
 constexpr Duration TickInterval = milliseconds(15);
 constexpr Duration AnnouncementInterval = milliseconds(1500);
 constexpr Duration ResubmitDelay = milliseconds(1300);
-constexpr Duration StopDuration = milliseconds(40);
 /// A capacity that has shrunk applies to starts this long after the next announcement at the latest.
 constexpr Duration CapacityNotice = seconds(3);
 constexpr std::int64_t MaxLeaseMs = 1000;
@@ -36,6 +35,18 @@
 /// What a call returns if nothing listens at the address of the server.
 constexpr StartAnswer RefusedStartAnswer = StartAnswer::Refused;
 constexpr PollFailure RefusedPollFailure = PollFailure::Refused;
+/// For SimulationSettings::coordinationFaults. A client whose connection was lost before its request was read, or refused, tries
+/// another entry within this time.
+constexpr Duration MinFailoverDelay = Duration(300);
+constexpr Duration MaxFailoverDelay = milliseconds(3);
+constexpr Duration NoEntryRetryInterval = milliseconds(100); ///< Time until a client tries again if no entry is running.
+/// Time from reading a request until the entry notices that its connection had been lost before.
+constexpr Duration MinEndNoticeDelay = milliseconds(1);
+constexpr Duration MaxEndNoticeDelay = milliseconds(200);
+constexpr Duration MaxStartWait = milliseconds(600); ///< How long a client waits for an entry to start.
+constexpr Duration MaxRequestDelayAfterStart = milliseconds(250); ///< Time from the start of an entry until such clients submit.
+constexpr std::uint64_t CoordinationFaultsSeed = 0x636f6f7264; ///< Combined with the seed of the simulation.
+constexpr const char *OutcomeNames[] = {"succeeded", "failed", "cancelled", "not-run", "given-up"};
 constexpr std::uint16_t PeerPort = 7000;
 constexpr std::uint32_t EntrySubnet = 0x0A010000;
 constexpr std::uint32_t AgentSubnet = 0x0A020000;
@@ -66,7 +77,7 @@
 
 } // namespace
 
-class DispatchSimulation::Impl
+class DispatchSimulation::Impl : public SimulatedProcesses
 {
 public:
     explicit Impl(SimulationSettings settings);
@@ -98,11 +109,25 @@
         m_events.push(Event{when, ++m_lastEventNumber, std::move(action)});
     }
 
-    void scheduleAfter(Duration delay, Action action)
+    // SimulatedProcesses
+    TimePoint now() const override
+    {
+        return m_now;
+    }
+
+    void scheduleAfter(Duration delay, Action action) override
     {
         scheduleAt(m_now + delay, std::move(action));
     }
 
+    void killEntry(std::size_t index, Duration downtime) override;
+    void pauseEntry(std::size_t index, Duration length) override;
+    void breakConnections(std::size_t exceptEntry, double share, Duration within) override;
+    void silenceConnection(const Endpoint &from, const Endpoint &to) override
+    {
+        m_silentConnections.insert({from, to});
+    }
+
     /// Uniformly distributed from 0 to 1.
     double randomFraction()
     {
@@ -143,12 +168,15 @@
     {
         const std::int64_t ms = std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count();
         m_result.violations.push_back(std::to_string(ms) + " ms: " + what);
+        m_log.write(LogLevel::Error, "VIOLATION", what);
     }
 
     /// Runs an action in a process, deferred while it is paused. Drops the action if the process is down or has been restarted.
     void runInProcess(Process &process, std::uint64_t generation, Action action);
     /// Sends a message, unless it is dropped by random loss, a partition or a silent connection.
     void deliver(const Endpoint &from, const Endpoint &to, std::string bytes);
+    /// A message arrives. `held` messages have waited for the end of a cut and are lost if their connection has been replaced.
+    void arrive(const std::pair<Endpoint, Endpoint> &path, std::uint64_t connection, bool held, const std::string &bytes);
     void startEntry(std::size_t index);
     void startAgent(std::size_t index);
     void tick(Process &process, std::uint64_t generation);
@@ -156,6 +184,7 @@
     void announce(std::size_t index);
     /// Kills an entry or agent process, which restarts after a delay.
     void killProcess(bool isEntry, std::size_t index);
+    void killProcess(bool isEntry, std::size_t index, Duration downtime);
     /// Ends a server process: its runs are lost, open calls to it end soon, new ones are refused until it restarts.
     void crashServer(Server &server);
     /// Kills the entry at which the client of a deadly job waits, if it is due by SimulationSettings::coordinatorKilledAfter.
@@ -176,6 +205,24 @@
     void submitNextJob();
     /// Submits or resubmits a job to a random entry.
     void submitJob(const std::shared_ptr<ClientJob> &job);
+    /// The entry that a client submits a job to; null if none is running.
+    Process *chooseEntry(const ClientJob &job);
+    /// Submits a job again after a delay or, as drawn, after the next start of an entry since then.
+    void resubmitAfter(Duration delay, const std::shared_ptr<ClientJob> &job);
+    /// For SimulationSettings::coordinationFaults: sends a request and draws what happens to its connection.
+    void submitWithFaults(Process &process, ClientTag tag, const std::shared_ptr<ClientJob> &job);
+    /// For SimulationSettings::coordinationFaults: the entry reads a request, unless its connection was lost before.
+    void readRequest(Process &process, ClientTag tag, const std::shared_ptr<ClientJob> &job);
+    /// For SimulationSettings::coordinationFaults: a client loses its connection and submits its job to another entry.
+    void loseConnection(Process &process, ClientTag tag);
+    /// Whether a client request has not been read by its entry.
+    bool isUnread(ClientTag tag) const
+    {
+        return m_unreadRequests.count(tag) > 0;
+    }
+    /// Has the clients that wait for the start of an entry submit to this one.
+    void releaseClientsTo(const Process &process);
+    void logJob(const char *event, const ClientJob &job, const Process &process, const std::string &fields = "");
     /// Checks that a run that starts is the only one of its task and that its job was not reported as not run.
     void checkStart(const RunRef &run, const Server &server);
 
@@ -203,6 +250,9 @@
     std::set<JobId> m_notRunJobs; ///< Jobs whose submissions were all answered with NotRun: no task of theirs may start.
     std::map<JobId, std::shared_ptr<ClientJob>> m_jobs;
     std::map<TaskRef, std::uint32_t> m_crashesByTask; ///< Server processes that crashed after they had started the deadly task.
+    std::unique_ptr<CoordinationFaultInjector> m_coordinationFaults; ///< Null without SimulationSettings::coordinationFaults.
+    std::set<ClientTag> m_unreadRequests; ///< For coordinationFaults.
+    std::vector<std::shared_ptr<ClientJob>> m_awaitingStart; ///< Jobs whose clients wait for an entry to start.
     Duration m_nextDeadlyAt{0}; ///< Since the start; for SimulationSettings::deadlyInterval.
     TimePoint m_end;
     bool m_loadEnded = false;
@@ -223,6 +273,9 @@
     std::uint32_t openSubmissions = 0; ///< Submissions without an answer.
     bool allAnswersNotRun = true; ///< Also false if a submission remained unanswered.
     bool deadly = false; ///< Servers crash when they start its deadly tasks.
+    std::optional<std::size_t> lastEntry; ///< Index of the entry of the latest submission.
+    std::optional<std::size_t> awaitedEntry; ///< Index of the entry whose start the client has waited for.
+    std::uint32_t lostConnections = 0; ///< By coordinationFaults.
     std::optional<std::uint32_t> onlyDeadlyTask; ///< Index of the only deadly task of a deadly job; empty if all are.
 
     bool isDeadly(const TaskRef &task) const
@@ -390,34 +443,50 @@
         || randomFraction() < m_settings.faults.lostMessageRate) {
         return;
     }
+    const CoordinationFaultInjector::Cut *cut = m_coordinationFaults ? m_coordinationFaults->cut(path) : nullptr;
+    if (cut != nullptr && !cut->holds) {
+        return;
+    }
     // Messages on one connection stay in order; those on a new connection may overtake messages on the old one.
     TimePoint &last = m_lastDelivery[{path, connection}];
-    TimePoint sentAt = m_now;
+    TimePoint sentAt = cut == nullptr ? m_now : cut->until;
     if (m_settings.entryLinkBytesPerSecond > 0 && m_byEndpoint.at(from)->isEntry) {
         TimePoint &linkFreeAt = m_linkFreeAt[from];
         const double seconds = static_cast<double>(bytes.size()) / m_settings.entryLinkBytesPerSecond;
         linkFreeAt = std::max(linkFreeAt, m_now) + Duration(static_cast<std::int64_t>(seconds * 1e6));
-        sentAt = linkFreeAt;
+        sentAt = std::max(sentAt, linkFreeAt);
     }
     last = std::max(last, sentAt + randomDuration(Duration(800), milliseconds(2)));
-    scheduleAt(last, [this, path, bytes = std::move(bytes)]() {
-        const std::map<Endpoint, Process *>::const_iterator it = m_byEndpoint.find(path.second);
-        if (it == m_byEndpoint.end() || m_partitionedPaths.count(path) > 0) {
+    scheduleAt(last, [this, path, connection, held = cut != nullptr, bytes = std::move(bytes)]() {
+        arrive(path, connection, held, bytes);
+    });
+}
+
+void DispatchSimulation::Impl::arrive(const std::pair<Endpoint, Endpoint> &path, std::uint64_t connection, bool held,
+                                      const std::string &bytes)
+{
+    if (const CoordinationFaultInjector::Cut *cut = m_coordinationFaults ? m_coordinationFaults->cut(path) : nullptr) {
+        if (cut->holds) {
+            scheduleAt(cut->until, [this, path, connection, bytes]() { arrive(path, connection, true, bytes); });
+        }
+        return;
+    }
+    const std::map<Endpoint, Process *>::const_iterator it = m_byEndpoint.find(path.second);
+    if (it == m_byEndpoint.end() || m_partitionedPaths.count(path) > 0 || (held && m_connections[path] != connection)) {
+        return;
+    }
+    Process &receiver = *it->second;
+    runInProcess(receiver, receiver.generation, [this, &receiver, bytes]() {
+        const std::optional<Envelope> envelope = decode(bytes);
+        if (!envelope) {
+            recordViolation("message could not be decoded");
             return;
         }
-        Process &receiver = *it->second;
-        runInProcess(receiver, receiver.generation, [this, &receiver, bytes]() {
-            const std::optional<Envelope> envelope = decode(bytes);
-            if (!envelope) {
-                recordViolation("message could not be decoded");
-                return;
-            }
-            if (receiver.entry) {
-                receiver.entry->onMessage(m_now, *envelope);
-            } else if (receiver.agent) {
-                receiver.agent->onMessage(m_now, *envelope);
-            }
-        });
+        if (receiver.entry) {
+            receiver.entry->onMessage(m_now, *envelope);
+        } else if (receiver.agent) {
+            receiver.agent->onMessage(m_now, *envelope);
+        }
     });
 }
 
@@ -601,6 +670,12 @@
             server.running[order.run.task] = Server::Run{order.run, taskCpuMilli, sim.m_now + runDuration, false, serial};
             const TimePoint until = sim.m_now + milliseconds(std::min(order.notAfter.value() - clock, MaxLeaseMs));
             server.leaseUntil = std::max(server.leaseUntil, until);
+            if (sim.m_settings.log != nullptr) {
+                sim.m_log.write(LogLevel::Info, "RUN",
+                                toString(order.run.task) + " number=" + std::to_string(order.run.run.value())
+                                    + " server=" + std::to_string(server.index)
+                                    + " for_ms=" + std::to_string(std::chrono::duration_cast<milliseconds>(runDuration).count()));
+            }
             ++sim.m_result.starts;
             ++sim.m_result.startsByServer[server.index];
             if (job.isDeadly(order.run.task)) {
@@ -654,7 +729,7 @@
             if (it != server.running.end() && it->second.ref == order.run && !it->second.stopping) {
                 it->second.stopping = true;
                 const std::uint64_t serial = it->second.serial;
-                simulation.scheduleAfter(StopDuration, [this, &server, run = order.run, serial]() {
+                simulation.scheduleAfter(simulation.m_settings.stopDuration, [this, &server, run = order.run, serial]() {
                     const std::map<TaskRef, Server::Run>::iterator stopped = server.running.find(run.task);
                     if (stopped != server.running.end() && stopped->second.serial == serial) {
                         server.running.erase(stopped);
@@ -756,14 +831,18 @@
         return;
     }
     if (answer == JobOutcome::GivenUp && simulation.m_now + ResubmitDelay < job->deadline) {
-        simulation.scheduleAfter(ResubmitDelay, [this, job]() { simulation.submitJob(job); });
+        simulation.resubmitAfter(ResubmitDelay, job);
         return;
     }
     job->finished = true;
+    if (simulation.m_coordinationFaults) {
+        simulation.logJob("ANSWERED", *job, *this, std::string(" outcome=") + OutcomeNames[static_cast<std::size_t>(answer)]);
+    }
     const bool inTime = simulation.m_now - job->firstSubmittedAt <= job->runTime * 16 / 10 + milliseconds(60);
     switch (answer) {
     case JobOutcome::Succeeded:
         ++result.succeeded;
+        simulation.count(*job, &JobKindResult::succeeded);
         result.longestJob = std::max(result.longestJob, simulation.m_now - job->firstSubmittedAt);
         result.inTime += inTime ? 1 : 0;
         if (inTime) {
@@ -805,6 +884,10 @@
     }
     process.entry = std::make_unique<EntryDispatch>(settings, process, process, process.log, m_now);
     tick(process, process.generation);
+    if (m_coordinationFaults) {
+        m_coordinationFaults->onEntryStarted(process.endpoint);
+        releaseClientsTo(process);
+    }
 }
 
 void DispatchSimulation::Impl::startAgent(std::size_t index)
@@ -859,6 +942,11 @@
 }
 
 void DispatchSimulation::Impl::killProcess(bool isEntry, std::size_t index)
+{
+    killProcess(isEntry, index, randomDuration(milliseconds(200), seconds(2)));
+}
+
+void DispatchSimulation::Impl::killProcess(bool isEntry, std::size_t index, Duration downtime)
 {
     Process &process = isEntry ? *m_entries[index] : *m_agents[index];
     process.up = false;
@@ -868,11 +956,11 @@
         --client.second->openSubmissions;
         client.second->allAnswersNotRun = false;
         if (!client.second->finished) {
-            scheduleAfter(ResubmitDelay, [this, job = client.second]() { submitJob(job); });
+            resubmitAfter(isUnread(client.first) ? MinFailoverDelay : ResubmitDelay, client.second);
         }
     }
     process.clients.clear();
-    scheduleAfter(randomDuration(milliseconds(200), seconds(2)), [this, isEntry, index, &process]() {
+    scheduleAfter(downtime, [this, isEntry, index, &process]() {
         if (!process.up) {
             isEntry ? startEntry(index) : startAgent(index);
         }
@@ -1056,19 +1144,24 @@
         ++m_result.timedOut;
         return;
     }
-    Process &process = *m_entries[static_cast<std::size_t>(randomFraction() * static_cast<double>(m_entries.size()))];
-    if (!process.up) {
-        scheduleAfter(milliseconds(500), [this, job]() { submitJob(job); });
+    Process *const chosen = chooseEntry(*job);
+    if (chosen == nullptr) {
+        scheduleAfter(m_coordinationFaults ? NoEntryRetryInterval : milliseconds(500), [this, job]() { submitJob(job); });
         return;
     }
+    Process &process = *chosen;
     ++job->submissions;
     ++job->openSubmissions;
     const ClientTag tag(m_nextTag++);
     process.clients[tag] = job;
-    const std::uint64_t generation = process.generation;
-    runInProcess(process, generation, [this, &process, tag, job]() {
-        process.entry->submit(m_now, tag, m_queues[job->kind], job->id, job->spec, job->deadline - m_now);
-    });
+    if (m_coordinationFaults) {
+        submitWithFaults(process, tag, job);
+    } else {
+        const std::uint64_t generation = process.generation;
+        runInProcess(process, generation, [this, &process, tag, job]() {
+            process.entry->submit(m_now, tag, m_queues[job->kind], job->id, job->spec, job->deadline - m_now);
+        });
+    }
     if (job->connectionBreaks && job->submissions == 1) {
         // Only the client detects that the connection is broken; the entry continues with the job.
         scheduleAfter(randomDuration(milliseconds(20), milliseconds(100)), [this, &process, tag, job]() {
@@ -1089,6 +1182,151 @@
     });
 }
 
+DispatchSimulation::Impl::Process *DispatchSimulation::Impl::chooseEntry(const ClientJob &job)
+{
+    if (!m_coordinationFaults) {
+        Process &process = *m_entries[static_cast<std::size_t>(randomFraction() * static_cast<double>(m_entries.size()))];
+        return process.up ? &process : nullptr;
+    }
+    std::vector<Process *> candidates;
+    for (const std::unique_ptr<Process> &entry : m_entries) {
+        if (entry->up && job.awaitedEntry == entry->index) {
+            return entry.get();
+        }
+        if (entry->up && job.lastEntry != entry->index) {
+            candidates.push_back(entry.get());
+        }
+    }
+    return candidates.empty() ? nullptr : candidates[m_coordinationFaults->drawIndex(candidates.size())];
+}
+
+void DispatchSimulation::Impl::resubmitAfter(Duration delay, const std::shared_ptr<ClientJob> &job)
+{
+    scheduleAfter(delay, [this, job]() {
+        if (!m_coordinationFaults || m_loadEnded || !m_coordinationFaults->drawAwaitsStart()) {
+            submitJob(job);
+            return;
+        }
+        m_awaitingStart.push_back(job);
+        scheduleAfter(MaxStartWait, [this, job, submissions = job->submissions]() {
+            const std::vector<std::shared_ptr<ClientJob>>::iterator it =
+                std::find(m_awaitingStart.begin(), m_awaitingStart.end(), job);
+            if (it != m_awaitingStart.end() && job->submissions == submissions) {
+                m_awaitingStart.erase(it);
+                submitJob(job);
+            }
+        });
+    });
+}
+
+void DispatchSimulation::Impl::releaseClientsTo(const Process &process)
+{
+    std::vector<std::shared_ptr<ClientJob>> jobs;
+    const auto goesElsewhere = [&process](const std::shared_ptr<ClientJob> &job) {
+        return job->lastEntry != process.index;
+    };
+    std::copy_if(m_awaitingStart.begin(), m_awaitingStart.end(), std::back_inserter(jobs), goesElsewhere);
+    std::erase_if(m_awaitingStart, goesElsewhere);
+    for (const std::shared_ptr<ClientJob> &job : jobs) {
+        job->awaitedEntry = process.index;
+        scheduleAfter(m_coordinationFaults->drawDuration(Duration(0), MaxRequestDelayAfterStart),
+                      [this, job]() { submitJob(job); });
+    }
+}
+
+void DispatchSimulation::Impl::submitWithFaults(Process &process, ClientTag tag, const std::shared_ptr<ClientJob> &job)
+{
+    job->lastEntry = process.index;
+    job->awaitedEntry.reset();
+    m_unreadRequests.insert(tag);
+    logJob("SUBMIT", *job, process, " submission=" + std::to_string(job->submissions));
+    const CoordinationFaultInjector::ConnectionFate fate = m_coordinationFaults->drawConnectionFate(job->lostConnections);
+    if (fate.lostAfter > Duration(0)) {
+        scheduleAfter(fate.lostAfter, [this, &process, tag]() { loseConnection(process, tag); });
+    }
+    scheduleAfter(fate.readAfter, [this, &process, generation = process.generation, tag, job]() {
+        runInProcess(process, generation, [this, &process, tag, job]() { readRequest(process, tag, job); });
+    });
+}
+
+void DispatchSimulation::Impl::readRequest(Process &process, ClientTag tag, const std::shared_ptr<ClientJob> &job)
+{
+    m_unreadRequests.erase(tag);
+    const bool ended = process.clients.count(tag) == 0;
+    if (ended) {
+        logJob("READ-ENDED", *job, process);
+        if (!m_coordinationFaults->faults().readsEndedConnections) {
+            return;
+        }
+        scheduleAfter(m_coordinationFaults->drawDuration(MinEndNoticeDelay, MaxEndNoticeDelay),
+                      [this, &process, generation = process.generation, tag]() {
+                          runInProcess(process, generation,
+                                       [this, &process, tag]() { process.entry->onClientDisconnected(m_now, tag); });
+                      });
+    }
+    process.entry->submit(m_now, tag, m_queues[job->kind], job->id, job->spec, job->deadline - m_now);
+}
+
+void DispatchSimulation::Impl::loseConnection(Process &process, ClientTag tag)
+{
+    const std::map<ClientTag, std::shared_ptr<ClientJob>>::iterator it = process.clients.find(tag);
+    if (it == process.clients.end()) {
+        return;
+    }
+    const std::shared_ptr<ClientJob> job = it->second;
+    process.clients.erase(it);
+    --job->openSubmissions;
+    ++job->lostConnections;
+    const bool unread = isUnread(tag);
+    // A request that no entry submits can't have started a run.
+    job->allAnswersNotRun = job->allAnswersNotRun && unread && !m_coordinationFaults->faults().readsEndedConnections;
+    logJob(unread ? "LOST-UNREAD" : "LOST", *job, process);
+    if (unread) {
+        scheduleAfter(m_coordinationFaults->drawDuration(MinFailoverDelay, MaxFailoverDelay), [this, job]() { submitJob(job); });
+    } else {
+        resubmitAfter(ResubmitDelay, job);
+    }
+}
+
+void DispatchSimulation::Impl::breakConnections(std::size_t exceptEntry, double share, Duration within)
+{
+    for (const std::unique_ptr<Process> &entry : m_entries) {
+        for (const std::pair<const ClientTag, std::shared_ptr<ClientJob>> &client : entry->clients) {
+            if (entry->index != exceptEntry && !client.second->finished
+                && client.second->lostConnections < m_coordinationFaults->faults().maxLostConnections
+                && m_coordinationFaults->drawBelow(share)) {
+                scheduleAfter(m_coordinationFaults->drawDuration(Duration(0), within),
+                              [this, &process = *entry, tag = client.first]() { loseConnection(process, tag); });
+            }
+        }
+    }
+}
+
+void DispatchSimulation::Impl::logJob(const char *event, const ClientJob &job, const Process &process, const std::string &fields)
+{
+    m_log.write(LogLevel::Info, event, "job=" + std::string(job.id.text()) + " entry=" + toString(process.endpoint) + fields);
+}
+
+void DispatchSimulation::Impl::killEntry(std::size_t index, Duration downtime)
+{
+    Process &process = *m_entries[index];
+    if (process.up) {
+        m_log.write(LogLevel::Info, "FAULT",
+                    "kill " + toString(process.endpoint)
+                        + " for_ms=" + std::to_string(std::chrono::duration_cast<milliseconds>(downtime).count()));
+        killProcess(true, index, downtime);
+    }
+}
+
+void DispatchSimulation::Impl::pauseEntry(std::size_t index, Duration length)
+{
+    Process &process = *m_entries[index];
+    m_log.write(LogLevel::Info, "FAULT",
+                "pause " + toString(process.endpoint)
+                    + " for_ms=" + std::to_string(std::chrono::duration_cast<milliseconds>(length).count()));
+    process.pausedUntil = std::max(process.pausedUntil, m_now + length);
+}
+
 DispatchSimulation::Impl::Impl(SimulationSettings settings)
     : m_settings(std::move(settings))
     , m_random(m_settings.seed)
@@ -1117,6 +1355,17 @@
         m_servers.back()->startedAt = m_now;
         m_servers.back()->startTimeMs = 1000 + static_cast<std::int64_t>(i);
     }
+    if (m_settings.coordinationFaults) {
+        std::vector<Endpoint> entries;
+        std::transform(m_entries.begin(), m_entries.end(), std::back_inserter(entries),
+                       [](const std::unique_ptr<Process> &entry) { return entry->endpoint; });
+        std::vector<Endpoint> agents;
+        std::transform(m_agents.begin(), m_agents.end(), std::back_inserter(agents),
+                       [](const std::unique_ptr<Process> &agent) { return agent->endpoint; });
+        m_coordinationFaults =
+            std::make_unique<CoordinationFaultInjector>(*m_settings.coordinationFaults, m_settings.seed ^ CoordinationFaultsSeed,
+                                                        std::move(entries), std::move(agents), *this, m_log);
+    }
 }
 
 SimulationResult DispatchSimulation::Impl::runFor(Duration length)
@@ -1135,6 +1384,9 @@
         scheduleAt(loadStart + seconds(1), [this]() { injectFault(); });
     }
     scheduleAt(loadStart + length, [this]() { m_loadEnded = true; });
+    if (m_coordinationFaults) {
+        m_coordinationFaults->injectUntil(loadStart + length);
+    }
     m_end = loadStart + length + m_settings.clientTimeout + seconds(6);
     TimePoint leaseCheckedAt = m_now;
     while (!m_events.empty() && m_events.top().at <= m_end) {
--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -2,6 +2,7 @@
 /// real dispatch cores of entries and agents.
 #pragma once
 
+#include "coordination_faults.h"
 #include "core/dispatch/agent_dispatch.h"
 #include "core/dispatch/entry_dispatch.h"
 
@@ -68,6 +69,10 @@
     double entryLinkBytesPerSecond = 0;
     double brokenConnectionRate = 0.05; ///< Fraction of jobs whose client loses its connection and resubmits to a random entry.
     Faults faults;
+    /// If set, clients submit again to another entry that is running, and the request of a connection that has been lost unread
+    /// is not submitted.
+    std::optional<CoordinationFaults> coordinationFaults;
+    Duration stopDuration = milliseconds(40); ///< Time from the order to stop a run until it has ended.
     std::map<std::size_t, double> runTimeFactors; ///< By server index; multiplies the run times on that server.
     Duration runTimeFactorsDuration = seconds(1000); ///< runTimeFactors apply for this long from the start.
     /// By server index: seconds after the start from which the server does not respond; its runs are lost.
@@ -95,6 +100,7 @@
 struct JobKindResult
 {
     std::uint64_t submitted = 0;
+    std::uint64_t succeeded = 0;
     std::uint64_t inTime = 0; ///< As in SimulationResult.
     std::uint64_t refused = 0; ///< Jobs whose final answer was NotRun.
     std::uint64_t failed = 0; ///< Jobs whose final answer was Failed.
