Simulation: two runs of a task on one server count as concurrent

Cause: the check that a run is the only one of its task looked at the other servers only; on the same server the second run replaced the first without notice. Change: a run of the task with another run number on the same server is a violation as well.

--- a/tests/dispatch_simulation.cpp
+++ b/tests/dispatch_simulation.cpp
@@ -606,7 +606,7 @@
 {
     for (const std::unique_ptr<Server> &other : m_servers) {
         const std::map<TaskRef, Server::Run>::const_iterator it = other->running.find(run.task);
-        if (other->up && other.get() != &server && it != other->running.end()) {
+        if (other->up && it != other->running.end() && (other.get() != &server || it->second.ref != run)) {
             recordViolation("concurrent runs of " + toString(run.task) + " on servers " + std::to_string(other->index) + " and "
                             + std::to_string(server.index));
         }
