A job that is resubmitted while its runs are stopped stays cancelled

Callers would see: a job that has been given up, whose client has sent it again, and which is then cancelled with status 200 starts once more when its former runs have stopped.

Cause: cancel() leaves a job alone whose outcome is already decided, and reports success. The clients that resubmitted it meanwhile start it anew when it is closed, and entries that wait for it are told that they may start it.

Change: a cancellation turns the outcome of a job that has been refused or given up into cancelled, answers the clients that have resubmitted it, and tells waiting entries so.

--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -251,6 +251,8 @@
     void joinRemoteJob(TimePoint now, const Endpoint &coordinator, const WaitingClient &client,
                        const std::shared_ptr<const QueueRule> &queue, const JobId &id,
                        const std::shared_ptr<const JobSpec> &spec);
+    /// Cancels a job that this entry coordinates, even if it has been given up while its runs are still being stopped.
+    void cancelJob(TimePoint now, Job &job);
     /// Registers another entry for the outcome of a job, and returns the job's state to report to it.
     JobStatus::State handleJoin(TimePoint now, const Endpoint &from, const JobId &id);
     /// Leaves a job that this entry has given up or doesn't know to the first entry that asks for it. Returns the state to
--- a/src/core/dispatch/entry_peers.cpp
+++ b/src/core/dispatch/entry_peers.cpp
@@ -150,8 +150,7 @@
     } else if (const CancelJob *cancel = std::get_if<CancelJob>(&envelope.message)) {
         const Jobs::iterator job = m_jobs.find(cancel->job);
         if (job != m_jobs.end()) {
-            ++m_counters.cancelled;
-            finish(now, job->second, JobOutcome::Cancelled, "cancelled");
+            cancelJob(now, job->second);
         }
     } else if (const ConfigBlob *config = std::get_if<ConfigBlob>(&envelope.message)) {
         handleConfig(*config);
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -468,3 +468,22 @@
     REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).size() == 2);
     REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint)[1].runs.size() == 2);
 }
+
+TEST_CASE("A job that was resubmitted while its runs were being stopped does not start again once it is cancelled")
+{
+    EntryFixture fixture;
+    fixture.submit(1, milliseconds(600), milliseconds(300));
+    fixture.receiveReport({EntryFixture::makeEvent(RunEvent::Kind::Started)});
+    fixture.runFor(milliseconds(700));
+    REQUIRE(fixture.clients.answers.at(1) == JobOutcome::GivenUp);
+    fixture.submit(2, seconds(2));
+    fixture.receiveFromEntry(JoinJob{Job1});
+    REQUIRE(fixture.entry.cancel(fixture.now, Job1));
+    fixture.receiveReport({EntryFixture::makeEvent(RunEvent::Kind::Ended, RunEnd::Stopped)});
+    fixture.runFor(milliseconds(200));
+    REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).size() == 1);
+    REQUIRE(fixture.clients.answers.at(2) == JobOutcome::Cancelled);
+    fixture.submit(3, seconds(2));
+    REQUIRE(fixture.clients.answers.at(3) == JobOutcome::Cancelled);
+    REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).size() == 1);
+}
