The runs of an entry that falls silent again after a pause of the agent are stopped

Callers would see: a task that runs on after its entry has ended, while the client's second submission starts it elsewhere. The agent had counted that entry as silent, has then started a run for it, and was paused before its next timer tick.

Cause: the runs of a silent entry are stopped once, and only a tick that finds the entry live makes that possible again. If the entry is heard between two ticks and times out in a pause, there is none.

Change: a message that shows that the entry was running makes it possible at once.

The new test failed before: the entry did not count as silent for the second time and no stop was sent. entry_dispatch_tests, agent_dispatch_tests, dispatch_tests and platform_tests pass.

--- a/src/core/dispatch/agent_coordinators.cpp
+++ b/src/core/dispatch/agent_coordinators.cpp
@@ -44,6 +44,9 @@
     if (const std::optional<Duration> age = PeerSession::maxAge(envelope, now)) {
         coordinator.lastKnownAliveAt = std::max(coordinator.lastKnownAliveAt, now - *age);
         coordinator.clockOffset = envelope.sentAt + *age - now;
+        // It may start runs again. If this process is paused until they have to be stopped, no tick notices that it was live.
+        coordinator.runsStopped =
+            coordinator.runsStopped && now - coordinator.lastKnownAliveAt > m_settings.timing.coordinatorTimeout;
     }
     coordinator.confirmedLists = std::max(coordinator.confirmedLists, envelope.confirmedLists);
     while (!coordinator.unacknowledged.empty() && coordinator.unacknowledged.front().number <= envelope.eventsSeen) {
--- a/tests/agent_dispatch_tests.cpp
+++ b/tests/agent_dispatch_tests.cpp
@@ -177,7 +177,7 @@
         envelope.fromEntry = true;
         envelope.sentAt = now;
         envelope.echoOf = links.lastEnvelopes.at(EntryAddress).sentAt;
-        envelope.echoHeld = now - envelope.echoOf;
+        envelope.echoHeld = now - envelope.echoOf - messageAge;
         envelope.eventsSeen = eventsSeen;
         envelope.message = std::move(message);
         agent.onMessage(now, envelope);
@@ -207,6 +207,7 @@
     std::uint64_t lastOrderNumber = 0;
     std::uint64_t lastAnnouncement = 0;
     std::uint64_t lastAnsweredPoll = 0;
+    Duration messageAge{0}; ///< Upper bound of the age of a message from the entry, as the agent computes it.
 };
 
 constexpr std::int64_t FarFutureMs = 9'000'000'000'000'000'000;
@@ -586,3 +587,22 @@
     fixture.agent.onPollAnswered(fixture.now, fixture.server.lastPollNumber, std::nullopt, PollFailure::Refused);
     REQUIRE(fixture.lastReport().crashes.at(0).suspects.front() == last);
 }
+
+TEST_CASE("The runs of an entry that falls silent twice are stopped each time, even if the agent was paused between")
+{
+    AgentFixture fixture;
+    fixture.tickFor(milliseconds(300));
+    fixture.receiveFromEntry(EntryReport());
+    fixture.tickFor(seconds(1));
+    REQUIRE(fixture.agent.counters().coordinatorsSilent == 1);
+    // The order has been on its way for at most 100 ms.
+    fixture.messageAge = milliseconds(100);
+    fixture.receiveFromEntry(fixture.makeOrder("00000000000000f1", milliseconds(900), milliseconds(90), 1));
+    REQUIRE(fixture.server.starts.size() == 1);
+    fixture.agent.onStartAnswered(fixture.now, fixture.server.starts[0].run, StartAnswer::Accepted, fixture.serverClock());
+    // This process is paused for less than the lease of the run, and the entry has ended meanwhile.
+    fixture.now += milliseconds(650);
+    fixture.agent.onTick(fixture.now);
+    REQUIRE(fixture.agent.counters().coordinatorsSilent == 2);
+    REQUIRE(fixture.server.stops.size() == 1);
+}
