A deregistration alone does not end the runs of a server

Callers would see: a task that runs at two servers. A server restarts under its id, and the deregistration of its former incarnation arrives late.

Cause: DELETE /instances/ID names no start time. The agent recorded all runs as lost and no longer polled the server, which still had them.

Change: a server with runs gets no new work after its deregistration and is polled at once. A server without runs is handled as before.

The new test failed before: the run was recorded as lost with the deregistration. entry_dispatch_tests, agent_dispatch_tests, dispatch_tests and platform_tests pass.

--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -302,6 +302,7 @@
     /// Until when the announced capacity may be used, on the server's clock; empty until this incarnation has announced it.
     std::optional<ServerTime> m_capacityValidUntil;
     bool m_draining = false;
+    bool m_leftServer = false; ///< The server's id was deregistered, and it has not responded since.
     std::vector<std::string> m_labels;
     ServerClock m_clock;
     FencingToken m_token;
--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -192,7 +192,15 @@
         return;
     }
     m_draining = true;
-    recordAllRunsLost(now, "the backend server has left");
+    if (m_ledger.booked() > 0) {
+        // The deregistration names no start time, and may be that of a former incarnation with the same id. The runs end with
+        // their lease, or once the server's address refuses connections.
+        refuseQueuedRuns(now, RefusalReason::NoServer);
+        m_leftServer = true;
+        pollServer(now, false);
+        reportToAll(now);
+        return;
+    }
     endServerIncarnation(now, "the backend server has left");
     refuseQueuedRuns(now, RefusalReason::NoServer);
     m_serverIncarnation.reset();
@@ -215,6 +223,7 @@
     m_endsUnacknowledged = false;
     m_reconciled = false;
     m_crashRecorded = false;
+    m_leftServer = false;
     m_unresponsiveRuns.clear();
     m_progress = ServerProgress();
     // A start request may have reached the new incarnation before this agent noticed the restart. Requests that are still in
@@ -451,6 +460,9 @@
         }
         if (failure == PollFailure::Refused) {
             recordCrash(now);
+            if (m_leftServer) {
+                recordAllRunsLost(now, "the backend server has left");
+            }
         }
         if ((failure == PollFailure::NotSent || failure == PollFailure::Refused) && m_reachable) {
             m_reachable = false;
@@ -473,6 +485,7 @@
         return;
     }
     m_incarnationConfirmed = inventory->startTimeMs == m_serverIncarnation->startTimeMs;
+    m_leftServer = false;
     m_reachable = true;
     m_lastPollUnanswered = false;
     m_crashRecorded = false;
--- a/tests/agent_dispatch_tests.cpp
+++ b/tests/agent_dispatch_tests.cpp
@@ -606,3 +606,39 @@
     REQUIRE(fixture.agent.counters().coordinatorsSilent == 2);
     REQUIRE(fixture.server.stops.size() == 1);
 }
+
+TEST_CASE("The deregistration of a server ends its runs only once the server does not respond any more")
+{
+    // Scenario: a server that leaves restarts under its id, and its deregistration arrives after the new incarnation has begun
+    // runs.
+    AgentFixture fixture;
+    fixture.tickFor(milliseconds(300));
+    fixture.receiveFromEntry(fixture.makeOrder("00000000000000d4", milliseconds(400), milliseconds(90), 1));
+    const dispatch::RunRef run = fixture.server.starts.at(0).run;
+    fixture.agent.onStartAnswered(fixture.now, run, StartAnswer::Accepted, fixture.serverClock());
+    fixture.agent.onServerLeft(fixture.now, "s");
+    REQUIRE(fixture.agent.ledger().booked() == 1);
+    REQUIRE_FALSE(fixture.lastReport().load.accepting);
+    SECTION("it runs")
+    {
+        for (int i = 0; i < 40; ++i) {
+            fixture.tickFor(milliseconds(30));
+            fixture.answerPoll(1, {ListedRun{run}});
+        }
+        REQUIRE(fixture.agent.ledger().booked() == 1);
+        fixture.announce(Resources{12000, 1000, 0});
+        REQUIRE(fixture.reportsAccepting());
+    }
+    SECTION("its process has ended")
+    {
+        fixture.agent.onPollAnswered(fixture.now, fixture.server.lastPollNumber, std::nullopt, PollFailure::Refused);
+        REQUIRE(fixture.agent.ledger().booked() == 0);
+        REQUIRE(fixture.lastReport().events.back().end == RunEnd::Lost);
+        REQUIRE(fixture.agent.counters().serverCrashes == 0);
+    }
+    SECTION("nothing is heard of it")
+    {
+        fixture.tickFor(seconds(1));
+        REQUIRE(fixture.agent.ledger().booked() == 0);
+    }
+}
