A listed run of a task that has another run recorded is stopped

Callers would see: two runs of one task on one server, if a run that counts as lost or never started begins late and a later run of the task is queued at the agent.

Cause: listed runs were compared with the records by task. A run with another number was neither stopped nor counted as a run of unknown origin, and marked the other run as listed.

Change: it is stopped at each poll that lists it, and nothing starts on the server until it has gone.

The new test failed before: no stop was sent. entry_dispatch_tests, agent_dispatch_tests, dispatch_tests and platform_tests pass.

--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -527,6 +527,12 @@
             m_log.write(LogLevel::Warning, "foreign-run", describe(listed.run));
             record = &m_ledger.adopt(listed.run);
             requestStop(now, *record);
+        } else if (record->ref != listed.run) {
+            // It counts as ended or never started, and another run of the task is recorded: that one must not start beside it.
+            m_log.write(LogLevel::Warning, "foreign-run", describe(listed.run));
+            m_server.stop(RunStop{*m_serverIncarnation, listed.run, m_token});
+            foreignRunListed = true;
+            continue;
         }
         record->listed = true;
         if (record != nullptr && record->serverRestarted && record->ref == listed.run) {
--- a/tests/agent_dispatch_tests.cpp
+++ b/tests/agent_dispatch_tests.cpp
@@ -642,3 +642,34 @@
         REQUIRE(fixture.agent.ledger().booked() == 0);
     }
 }
+
+TEST_CASE("Another run of a task that is recorded here is stopped, and nothing starts beside it")
+{
+    // Scenario: run 1 of a task counts as lost or never started, and its server, which executes requests late, begins it after
+    // run 2 has been queued here.
+    AgentFixture fixture;
+    fixture.tickFor(milliseconds(300));
+    fixture.receiveFromEntry(fixture.makeOrder("00000000000000e1", milliseconds(400), milliseconds(90), 4));
+    StartOrder order = fixture.makeOrder("00000000000000e2", milliseconds(100), milliseconds(90), 1);
+    order.runs[0].run = RunNumber(2);
+    fixture.receiveFromEntry(std::move(order));
+    const std::vector<RunStart> started = fixture.server.starts;
+    REQUIRE(started.size() == 4);
+    REQUIRE(fixture.agent.ledger().waiting() == 1);
+    std::vector<ListedRun> listed;
+    std::vector<FinishedRun> ended;
+    for (const RunStart &start : started) {
+        fixture.agent.onStartAnswered(fixture.now, start.run, StartAnswer::Accepted, fixture.serverClock());
+        ended.push_back(FinishedRun{ended.size() + 1, start.run, RunEnd::Done});
+    }
+    const dispatch::RunRef former{dispatch::TaskRef{*JobId::parse("00000000000000e2"), 0, 0, 0}, RunNumber(1)};
+    listed.push_back(ListedRun{former});
+    fixture.answerPoll(1, listed, ended);
+    REQUIRE(fixture.server.stops.size() == 1);
+    REQUIRE(fixture.server.stops[0].run == former);
+    fixture.tickFor(milliseconds(30));
+    REQUIRE(fixture.server.starts.size() == 4);
+    fixture.answerPoll(1);
+    REQUIRE(fixture.server.starts.size() == 5);
+    REQUIRE(fixture.server.starts[4].run.run == RunNumber(2));
+}
