A run can begin until the latest deadline of its start requests

Callers would see: a task placed elsewhere whose first start request the server then executes, within about 100 ms of its deadline.

Cause: a repeated start request replaces the recorded deadline, which can be earlier than that of the former request: the estimate of the server's clock falls back when a response is read late, and the capacity may be valid for less time. A poll between the two deadlines that does not list the run then counts as proof that it can't begin.

Change: the record keeps the latest deadline of its requests; each request carries its own.

The new test failed before: the run's resources were released before the latest deadline. entry_dispatch_tests, agent_dispatch_tests, dispatch_tests and platform_tests pass.

--- a/src/core/dispatch/agent_dispatch.cpp
+++ b/src/core/dispatch/agent_dispatch.cpp
@@ -201,14 +201,17 @@
 
 void AgentDispatch::sendStart(TimePoint now, RunRecord &record)
 {
-    record.notAfter = ServerTime(m_clock.lowerBound(now).value() + toMs(m_settings.timing.startValidity));
-    record.notAfter = std::min(record.notAfter, *m_capacityValidUntil);
-    m_leaseUntil = std::max(m_leaseUntil, record.notAfter);
+    ServerTime notAfter(m_clock.lowerBound(now).value() + toMs(m_settings.timing.startValidity));
+    notAfter = std::min(notAfter, *m_capacityValidUntil);
+    // The estimate of the server's clock may have fallen back, and an earlier request may still be executed until its own
+    // deadline.
+    record.notAfter = std::max(record.notAfter, notAfter);
+    m_leaseUntil = std::max(m_leaseUntil, notAfter);
     record.startSentAt = now;
     ++record.startAttempts;
     ++record.startsInFlight;
     ++m_startsInFlight;
-    m_server.start(RunStart{*m_serverIncarnation, record.ref, record.payload, record.notAfter, m_token});
+    m_server.start(RunStart{*m_serverIncarnation, record.ref, record.payload, notAfter, m_token});
 }
 
 void AgentDispatch::retransmitStarts(TimePoint now)
--- a/src/core/dispatch/run_ledger.h
+++ b/src/core/dispatch/run_ledger.h
@@ -34,7 +34,7 @@
     TimePoint queuedAt;
     TimePoint startBy; ///< Start deadline; a run that is still queued is refused then.
     TimePoint startedAt; ///< When the resources were booked and the first start request was sent.
-    ServerTime notAfter; ///< The server rejects the start after this time on its own clock.
+    ServerTime notAfter; ///< On its own clock, the server rejects all start requests after this time.
     TimePoint startSentAt; ///< When the start request was last sent.
     std::uint32_t startAttempts = 0; ///< Number of start requests sent. They are idempotent: the server starts the run once.
     std::uint32_t startsInFlight = 0; ///< Start requests without a response so far.
--- a/tests/agent_dispatch_tests.cpp
+++ b/tests/agent_dispatch_tests.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+
 using namespace cuminscale;
 using namespace cuminscale::dispatch;
 
@@ -673,3 +675,42 @@
     REQUIRE(fixture.server.starts.size() == 5);
     REQUIRE(fixture.server.starts[4].run.run == RunNumber(2));
 }
+
+TEST_CASE("A run may begin until the latest deadline of its start requests")
+{
+    // Scenario: the response to a poll is read late, so that the estimate of the server's clock falls back. The deadline of the
+    // repeated start request is earlier than that of the first one, which the server may still execute.
+    AgentFixture fixture;
+    fixture.tickFor(milliseconds(300));
+    fixture.receiveFromEntry(fixture.makeOrder("00000000000000d1", milliseconds(100), milliseconds(90), 1));
+    const std::uint64_t startedPoll = fixture.server.lastPollNumber;
+    fixture.tickFor(milliseconds(45));
+    REQUIRE(fixture.server.lastPollNumber > startedPoll);
+    Inventory read;
+    read.startTimeMs = 1;
+    read.clock = ServerTime(fixture.serverClock().value() - 150);
+    fixture.agent.onPollAnswered(fixture.now, fixture.server.lastPollNumber, read, PollFailure::None);
+    fixture.tickFor(milliseconds(90));
+    const std::vector<RunStart> starts = fixture.server.starts;
+    REQUIRE(starts.size() > 1);
+    const RunStart &earliest = *std::min_element(starts.begin(), starts.end(),
+                                                 [](const RunStart &a, const RunStart &b) { return a.notAfter < b.notAfter; });
+    const RunStart &latest = *std::max_element(starts.begin(), starts.end(),
+                                               [](const RunStart &a, const RunStart &b) { return a.notAfter < b.notAfter; });
+    REQUIRE(starts.back().notAfter < latest.notAfter);
+    for (std::size_t i = 0; i < starts.size(); ++i) {
+        fixture.agent.onStartAnswered(fixture.now, starts[0].run, StartAnswer::Unknown, std::nullopt);
+    }
+    // A poll after the deadline of the last request and before that of another one does not show that the run can't begin.
+    const auto answerAt = [&fixture](ServerTime clock) {
+        Inventory inventory;
+        inventory.startTimeMs = 1;
+        inventory.clock = clock;
+        fixture.agent.onPollAnswered(fixture.now, fixture.server.lastPollNumber, inventory, PollFailure::None);
+    };
+    answerAt(ServerTime(latest.notAfter.value() - 1));
+    REQUIRE(fixture.agent.ledger().booked() == 1);
+    answerAt(ServerTime(latest.notAfter.value() + 1));
+    REQUIRE(fixture.agent.ledger().booked() == 0);
+    REQUIRE(earliest.notAfter < latest.notAfter);
+}
