A silence of 0.7 s does not end the runs of a job that was answered long ago

Callers would see: a task that runs at two servers, when a run could not be stopped for 10 s after its job was given up, and its agent is then silent for a moment.

Cause: the runs of a silent agent count as ended 10 s after the answer, not after 10 s of silence.

Change: both times must have passed, or the agent's record must have expired.

The new test failed before: entries that wait for the job were told that it was given up after 0.7 s of silence. entry_dispatch_tests, agent_dispatch_tests, dispatch_tests and platform_tests pass.

--- a/src/core/dispatch/entry_runs.cpp
+++ b/src/core/dispatch/entry_runs.cpp
@@ -357,7 +357,9 @@
                     finish(now, job, JobOutcome::GivenUp, "agent-silent");
                     return;
                 }
-                if (now - job.answerDecidedAt > m_settings.timing.peerExpiry) {
+                // The agent may have been heard until shortly before, with the run still active.
+                const bool expired = agent == nullptr || agent->session.silence(now) > m_settings.timing.peerExpiry;
+                if (expired && now - job.answerDecidedAt > m_settings.timing.peerExpiry) {
                     task.phase = TaskState::Phase::Waiting;
                 } else if (now - task.lastRequestAt > StopRetransmissionTimeout) {
                     // The connection may have failed in one direction only, so the agent may still receive messages.
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -487,3 +487,231 @@
     REQUIRE(fixture.clients.answers.at(3) == JobOutcome::Cancelled);
     REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).size() == 1);
 }
+
+TEST_CASE("A cancellation is repeated and acknowledged only once the other entries have confirmed it")
+{
+    EntryFixture fixture;
+    const bool listed = GENERATE(true, false);
+    if (listed) {
+        fixture.otherReport.activeJobs = {Job1.key()};
+    }
+    fixture.runFor(milliseconds(300));
+    fixture.cancel();
+    REQUIRE(fixture.links.messagesTo<CancelJob>(OtherEntry.endpoint).size() == 1);
+    fixture.runFor(milliseconds(400));
+    REQUIRE(fixture.links.messagesTo<CancelJob>(OtherEntry.endpoint).size() == 3);
+    REQUIRE(fixture.cancelOutcomes.empty());
+    // The answer to a join request that was sent before, and one that leaves it open whether the job is cancelled.
+    fixture.messageDelay = milliseconds(450);
+    fixture.receiveFromEntry(JobStatus{Job1, JobStatus::State::Unknown});
+    fixture.messageDelay = milliseconds(5);
+    fixture.receiveFromEntry(JobStatus{Job1, JobStatus::State::Active});
+    REQUIRE(fixture.cancelOutcomes.empty());
+    fixture.receiveFromEntry(JobStatus{Job1, listed ? JobStatus::State::Cancelled : JobStatus::State::Unknown});
+    REQUIRE(fixture.cancelOutcomes == std::vector<CancelOutcome>{listed ? CancelOutcome::Cancelled : CancelOutcome::UnknownJob});
+    fixture.otherReport.activeJobs.clear();
+    fixture.runFor(milliseconds(400));
+    REQUIRE(fixture.links.messagesTo<CancelJob>(OtherEntry.endpoint).size() == 3);
+    // Its client has resubmitted it.
+    fixture.submit(1, seconds(2));
+    REQUIRE(fixture.clients.answers.at(1) == JobOutcome::Cancelled);
+    REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).empty());
+}
+
+TEST_CASE("A job whose cancellation has arrived here from another entry does not start when it is submitted afterwards")
+{
+    EntryFixture fixture;
+    fixture.receiveFromEntry(CancelJob{Job1});
+    REQUIRE(fixture.links.messagesTo<JobStatus>(OtherEntry.endpoint).size() == 1);
+    REQUIRE(fixture.links.messagesTo<JobStatus>(OtherEntry.endpoint)[0].state == JobStatus::State::Unknown);
+    fixture.submit(1, seconds(2));
+    REQUIRE(fixture.clients.answers.at(1) == JobOutcome::Cancelled);
+    REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).empty());
+    fixture.runFor(seconds(31));
+    fixture.submit(2, seconds(2));
+    REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).size() == 1);
+}
+
+TEST_CASE("A job that is active here is cancelled on the order of another entry, which is told so each time it asks")
+{
+    EntryFixture fixture;
+    fixture.submit(1, seconds(2));
+    fixture.receiveReport({EntryFixture::makeEvent(RunEvent::Kind::Started)});
+    fixture.receiveFromEntry(CancelJob{Job1});
+    fixture.receiveFromEntry(CancelJob{Job1});
+    REQUIRE(fixture.clients.answers.at(1) == JobOutcome::Cancelled);
+    REQUIRE(fixture.links.messagesTo<StopOrder>(Agent.endpoint).size() == 1);
+    const std::vector<JobStatus> answers = fixture.links.messagesTo<JobStatus>(OtherEntry.endpoint);
+    REQUIRE(answers.size() == 2);
+    REQUIRE(answers[0].state == JobStatus::State::Cancelled);
+    REQUIRE(answers[1].state == JobStatus::State::Cancelled);
+}
+
+TEST_CASE("An entry that restarts after it has confirmed a cancellation is told of it again")
+{
+    EntryFixture fixture;
+    fixture.runFor(milliseconds(300));
+    fixture.cancel();
+    fixture.receiveFromEntry(JobStatus{Job1, JobStatus::State::Unknown});
+    REQUIRE(fixture.links.messagesTo<CancelJob>(OtherEntry.endpoint).size() == 1);
+    dispatch::Envelope envelope = fixture.envelopeFrom(OtherEntry, EntryReport());
+    envelope.from.incarnation = Incarnation(OtherEntry.incarnation.value() + 1);
+    fixture.entry.onMessage(fixture.now, envelope);
+    fixture.runFor(seconds(2));
+    REQUIRE(fixture.links.messagesTo<CancelJob>(OtherEntry.endpoint).size() >= 2);
+}
+
+TEST_CASE("The cancellation of a job is not acknowledged while an entry that may run it is silent")
+{
+    EntryFixture fixture;
+    fixture.runFor(milliseconds(300));
+    const auto runWithoutOtherEntry = [&fixture](Duration length) {
+        const TimePoint end = fixture.now + length;
+        while (fixture.now < end) {
+            fixture.now += milliseconds(15);
+            fixture.receiveReport({});
+            fixture.entry.onTick(fixture.now);
+        }
+    };
+    SECTION("until the deadline of the client")
+    {
+        fixture.cancel(seconds(2));
+        runWithoutOtherEntry(milliseconds(1950));
+        REQUIRE(fixture.cancelOutcomes.empty());
+        runWithoutOtherEntry(milliseconds(100));
+        REQUIRE(fixture.cancelOutcomes == std::vector<CancelOutcome>{CancelOutcome::Unconfirmed});
+    }
+    SECTION("until that entry counts as failed")
+    {
+        fixture.submit(1, seconds(10), seconds(1));
+        fixture.cancel(seconds(10));
+        runWithoutOtherEntry(milliseconds(2900));
+        REQUIRE(fixture.cancelOutcomes.empty());
+        runWithoutOtherEntry(milliseconds(200));
+        REQUIRE(fixture.cancelOutcomes == std::vector<CancelOutcome>{CancelOutcome::Cancelled});
+    }
+    SECTION("until this process exits")
+    {
+        fixture.cancel(seconds(10));
+        REQUIRE(fixture.entry.unanswered() == 1);
+        fixture.entry.giveUpUnanswered(fixture.now);
+        REQUIRE(fixture.cancelOutcomes == std::vector<CancelOutcome>{CancelOutcome::Unconfirmed});
+        REQUIRE(fixture.entry.unanswered() == 0);
+    }
+}
+
+TEST_CASE("A job that is cancelled while a client waits for it here does not start here when its coordinator gives it up")
+{
+    EntryFixture fixture;
+    fixture.otherReport.activeJobs = {Job1.key()};
+    fixture.runFor(milliseconds(300));
+    fixture.submit(1, seconds(4));
+    fixture.cancel();
+    fixture.messageDelay = milliseconds(100);
+    fixture.receiveFromEntry(JobStatus{Job1, JobStatus::State::Refused});
+    REQUIRE(fixture.clients.answers.at(1) == JobOutcome::Cancelled);
+    REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).empty());
+}
+
+TEST_CASE("Only the entry that a client waits for decides about the job")
+{
+    // Scenario: the entry that coordinated the job before sends an answer to a repeated request once more.
+    EntryFixture fixture;
+    fixture.otherReport.activeJobs = {Job1.key()};
+    fixture.receiveFromEntry(fixture.otherReport);
+    fixture.submit(1, seconds(4));
+    const ProcessId former{Endpoint{3, 7000}, Incarnation(6)};
+    fixture.entry.onMessage(fixture.now, fixture.envelopeFrom(former, JobStatus{Job1, JobStatus::State::Refused}));
+    fixture.entry.onMessage(fixture.now, fixture.envelopeFrom(former, JobStatus{Job1, JobStatus::State::Unknown}));
+    REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).empty());
+    fixture.receiveFromEntry(JobStatus{Job1, JobStatus::State::Succeeded});
+    REQUIRE(fixture.clients.answers.at(1) == JobOutcome::Succeeded);
+}
+
+TEST_CASE("An answer that is older than the list that names a job does not end the job")
+{
+    // Scenario: the other entry did not know the job, then its client resubmitted it there. The connection was replaced between,
+    // and the former one delivers the old answer last.
+    const JobStatus::State state = GENERATE(JobStatus::State::Unknown, JobStatus::State::Refused);
+    EntryFixture fixture;
+    const dispatch::Envelope late = fixture.envelopeFrom(OtherEntry, JobStatus{Job1, state});
+    fixture.now += milliseconds(400);
+    fixture.otherReport.activeJobs = {Job1.key()};
+    fixture.receiveFromEntry(fixture.otherReport);
+    fixture.submit(1, seconds(4));
+    fixture.entry.onMessage(fixture.now, late);
+    REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).empty());
+    // The request is repeated, and its answer counts.
+    fixture.runFor(milliseconds(200));
+    REQUIRE(fixture.links.messagesTo<JoinJob>(OtherEntry.endpoint).size() == 2);
+    fixture.receiveFromEntry(JobStatus{Job1, state});
+    REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).size() == 1);
+}
+
+TEST_CASE("A job that was given up is left to one of the entries whose clients wait for it")
+{
+    // Scenario: a job is given up while clients wait for it at two other entries, or at another entry and here. One of these
+    // clients has lost its connection, which its entry has not noticed yet.
+    EntryFixture fixture;
+    const ProcessId third{Endpoint{3, 7000}, Incarnation(6)};
+    const auto lastStatus = [&fixture](const ProcessId &entry) {
+        return fixture.links.messagesTo<JobStatus>(entry.endpoint).back().state;
+    };
+    fixture.submit(1, milliseconds(600), milliseconds(300));
+    fixture.receiveReport({EntryFixture::makeEvent(RunEvent::Kind::Started)});
+    fixture.receiveFromEntry(JoinJob{Job1});
+    SECTION("at two other entries")
+    {
+        fixture.entry.onMessage(fixture.now, fixture.envelopeFrom(third, JoinJob{Job1}));
+        fixture.runFor(milliseconds(700));
+        fixture.receiveReport({EntryFixture::makeEvent(RunEvent::Kind::Ended, RunEnd::Stopped)});
+        REQUIRE((lastStatus(OtherEntry) == JobStatus::State::Refused) != (lastStatus(third) == JobStatus::State::Refused));
+        const bool otherStarts = lastStatus(OtherEntry) == JobStatus::State::Refused;
+        const ProcessId starting = otherStarts ? OtherEntry : third;
+        const ProcessId waiting = otherStarts ? third : OtherEntry;
+        // Until the list of the one that starts it may have reached the others, they wait, and so does a client here.
+        fixture.entry.onMessage(fixture.now, fixture.envelopeFrom(waiting, JoinJob{Job1}));
+        REQUIRE(lastStatus(waiting) == JobStatus::State::Active);
+        fixture.submit(2, seconds(2));
+        REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).size() == 1);
+        REQUIRE(fixture.links.messagesTo<JoinJob>(starting.endpoint).size() == 1);
+        // Later, an entry that still does not know of it may start it.
+        fixture.now += seconds(1);
+        fixture.entry.onMessage(fixture.now, fixture.envelopeFrom(waiting, JoinJob{Job1}));
+        REQUIRE(lastStatus(waiting) == JobStatus::State::Unknown);
+    }
+    SECTION("at another entry and here")
+    {
+        fixture.runFor(milliseconds(700));
+        fixture.submit(2, seconds(2));
+        fixture.receiveReport({EntryFixture::makeEvent(RunEvent::Kind::Ended, RunEnd::Stopped)});
+        REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).size() == 2);
+        fixture.receiveFromEntry(JoinJob{Job1});
+        for (const JobStatus &status : fixture.links.messagesTo<JobStatus>(OtherEntry.endpoint)) {
+            REQUIRE(status.state == JobStatus::State::Active);
+        }
+    }
+}
+
+TEST_CASE("The runs of a job that was answered long ago do not count as ended when their agent is silent for a moment")
+{
+    // Scenario: a run can't be stopped for long because its server does not respond, and its agent, which reports that, is then
+    // cut off for a second.
+    EntryFixture fixture;
+    fixture.submit(1, milliseconds(600), milliseconds(300));
+    fixture.receiveReport({EntryFixture::makeEvent(RunEvent::Kind::Started)});
+    fixture.receiveFromEntry(JoinJob{Job1});
+    fixture.runFor(seconds(12));
+    const auto runWithoutAgent = [&fixture](Duration length) {
+        const TimePoint end = fixture.now + length;
+        while (fixture.now < end) {
+            fixture.now += milliseconds(15);
+            fixture.receiveFromEntry(fixture.otherReport);
+            fixture.entry.onTick(fixture.now);
+        }
+    };
+    runWithoutAgent(seconds(1));
+    REQUIRE(fixture.links.messagesTo<JobStatus>(OtherEntry.endpoint).back().state == JobStatus::State::Active);
+    runWithoutAgent(seconds(10));
+    REQUIRE(fixture.links.messagesTo<JobStatus>(OtherEntry.endpoint).back().state == JobStatus::State::Refused);
+}
