A late message of a former incarnation does not replace the present one

Callers would see: an entry takes an old list of active jobs for a new one, and an agent stops the runs of a live entry and numbers its events anew, so that the entry ignores them.

Cause: a lower incarnation is accepted after 2 s of silence, as the wall clock may have been set back before a restart. A message of the former incarnation that a stalled connection delivers then looks the same.

Change: its sending time is compared too. Sending times are of the same machine's clock, so a message that was sent before the latest one of the present incarnation is outdated. After 10 s of silence it is accepted, for a machine that has rebooted.

The new test failed before: the late message counted as a new incarnation. entry_dispatch_tests, agent_dispatch_tests, dispatch_tests and platform_tests pass.

--- a/src/core/dispatch/peer_session.cpp
+++ b/src/core/dispatch/peer_session.cpp
@@ -12,13 +12,21 @@
 constexpr int RoundTripSamples = 2;
 /// A peer echoes a message with its next one, at the latest one heartbeat interval later.
 constexpr Duration MaxEchoDelay = milliseconds(250);
+/// Silence of the known incarnation after which a lower one is accepted even if its sending times are lower too: its machine has
+/// rebooted. No connection delivers a message so late.
+constexpr Duration AcceptEarlierSendingTimeAfter = seconds(10);
 
 } // namespace
 
 PeerSession::Arrival PeerSession::receive(const Envelope &envelope, Incarnation self, TimePoint now)
 {
-    if (envelope.from.incarnation < m_incarnation && now - m_lastReceivedAt < AcceptLowerIncarnationAfter) {
-        return Arrival::Outdated;
+    if (envelope.from.incarnation < m_incarnation) {
+        // A message that is delivered late has been sent before the latest one of the present incarnation, on the clock of the
+        // same machine. That clock starts anew with the machine.
+        const bool sentBefore = envelope.sentAt <= m_peerSentAt;
+        if (now - m_lastReceivedAt < (sentBefore ? AcceptEarlierSendingTimeAfter : AcceptLowerIncarnationAfter)) {
+            return Arrival::Outdated;
+        }
     }
     if (envelope.toIncarnation != Incarnation() && envelope.toIncarnation != self) {
         return Arrival::Outdated;
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -715,3 +715,26 @@
     runWithoutAgent(seconds(10));
     REQUIRE(fixture.links.messagesTo<JobStatus>(OtherEntry.endpoint).back().state == JobStatus::State::Refused);
 }
+
+TEST_CASE("A late message of a former incarnation does not replace the present one, however long that is silent")
+{
+    constexpr ProcessId Peer{Endpoint{2, 7000}, Incarnation(0)};
+    PeerSession session(TimePoint(seconds(100)));
+    const auto receive = [&session](std::uint64_t incarnation, TimePoint sentAt, TimePoint now) {
+        dispatch::Envelope envelope;
+        envelope.from = ProcessId{Peer.endpoint, Incarnation(incarnation)};
+        envelope.sentAt = sentAt;
+        return session.receive(envelope, Self.incarnation, now);
+    };
+    REQUIRE(receive(6, TimePoint(seconds(50)), TimePoint(seconds(101))) == PeerSession::Arrival::NewIncarnation);
+    REQUIRE(receive(7, TimePoint(seconds(52)), TimePoint(seconds(103))) == PeerSession::Arrival::NewIncarnation);
+    // Sent before the peer restarted; delivered by a connection that had stopped delivering.
+    REQUIRE(receive(6, TimePoint(seconds(51)), TimePoint(seconds(106))) == PeerSession::Arrival::Outdated);
+    REQUIRE(receive(7, TimePoint(seconds(55)), TimePoint(seconds(106))) == PeerSession::Arrival::SameIncarnation);
+    // The peer has restarted after its wall clock had been set back.
+    REQUIRE(receive(5, TimePoint(seconds(56)), TimePoint(seconds(107))) == PeerSession::Arrival::Outdated);
+    REQUIRE(receive(5, TimePoint(seconds(58)), TimePoint(seconds(109))) == PeerSession::Arrival::NewIncarnation);
+    // Its machine has rebooted, so that its sending times start anew, and its wall clock was set back again.
+    REQUIRE(receive(4, TimePoint(seconds(2)), TimePoint(seconds(113))) == PeerSession::Arrival::Outdated);
+    REQUIRE(receive(4, TimePoint(seconds(9)), TimePoint(seconds(120))) == PeerSession::Arrival::NewIncarnation);
+}
