An answer older than the latest message of its sender does not release a job

Callers would see: a task that runs at two servers, when a client resubmits a job to its coordinator after that was given up, another client waits for it here, and a replaced connection delivers the coordinator's earlier answer last.

Cause: the answers unknown and refused release a job without regard to their sending time, although the coordinator has since listed the job.

Change: such an answer counts only if nothing sent later has arrived from that entry. The request is repeated every 150 ms anyway.

The new test failed before for both answers: a start order after the late answer. entry_dispatch_tests, agent_dispatch_tests, dispatch_tests and platform_tests pass.

--- a/src/core/dispatch/entry_joined_jobs.cpp
+++ b/src/core/dispatch/entry_joined_jobs.cpp
@@ -90,6 +90,10 @@
     if (startsHere && coordinator != m_entries.end() && mayHaveFormerRuns(now, coordinator->second, status.job)) {
         return;
     }
+    // A replaced connection may deliver an answer that was sent before the list in which the coordinator names the job.
+    if (startsHere && coordinator != m_entries.end() && !coordinator->second.session.latestWasNewest()) {
+        return;
+    }
     const JoinedJob joined = std::move(it->second);
     m_joinedJobs.erase(it);
     if (startsHere) {
