A cancellation is acknowledged once no entry can start the job any more

Callers would see: DELETE for a job that another entry coordinates is answered 200 at once, and if its message is lost the job runs on. If that entry does not list the job yet, DELETE is answered 410 and the job runs on. A client whose POST was lost with its connection, and which cancels the job at one entry and sends it again to another, gets it started after the acknowledgement.

Cause: the order to cancel goes to one entry, once, and only if its latest list of active jobs names the job. A list without the job, and an order without an answer, count as a job that does not run. No entry remembers that a job it does not know was cancelled.

The confirmation is a JobStatus sent in reply to CancelJob; the messages have the same form as before. DELETE is answered 200 or 410 when all entries that were heard within 3 s have confirmed, and 504 at the client's deadline. That limit relies on an entry that others have not heard for 3 s having given its jobs up.

One assertion of platform_tests is replaced: it submitted the id that it had cancelled three lines before (status 410), and expected to be refused for want of servers.

--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -120,7 +120,11 @@
 
 std::size_t EntryDispatch::unanswered() const noexcept
 {
-    return m_clientJobs.size();
+    std::size_t cancellations = 0;
+    for (const std::pair<const JobId, Cancellation> &cancellation : m_cancellations) {
+        cancellations += cancellation.second.waiting.size();
+    }
+    return m_clientJobs.size() + cancellations;
 }
 
 std::size_t EntryDispatch::pending(const std::string &queue) const
@@ -217,6 +221,10 @@
     default:
         break;
     }
+    if (m_cancelledJobs.count(id) > 0) {
+        m_clients.answer(client, JobOutcome::Cancelled, "cancelled", Duration(0));
+        return;
+    }
     if (refuseCrashingJob(now, client, id, *queue)) {
         return;
     }
@@ -506,6 +514,7 @@
 
 void EntryDispatch::giveUpUnanswered(TimePoint now)
 {
+    answerUnconfirmedCancellations();
     std::vector<JobId> ids;
     std::vector<ClientTag> others;
     for (Jobs::value_type &item : m_jobs) {
@@ -589,6 +598,7 @@
     m_crashes.expire(now);
     m_isolation.expire(now);
     maintainJoinedJobs(now);
+    maintainCancellations(now);
     maintainAgents(now);
     maintainEntries(now);
     fetchConfig(now);
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -56,6 +56,9 @@
     /// first one suffices.
     Duration replicaStagger = milliseconds(150);
     Duration retryAfter = seconds(1); ///< Minimum retry delay for refused clients; a burst lasts for seconds.
+    /// An entry that is silent for longer is not waited for before a cancellation is acknowledged. By then its runs have been
+    /// stopped, unless it is in touch with the agents and only not with this entry.
+    Duration cancellationSilenceTimeout = seconds(3);
     std::size_t maxJobs = 4096;
     std::size_t maxEndedJobs = 20000;
 };
@@ -95,14 +98,21 @@
     std::uint64_t queuesIsolated = 0; ///< Times that a queue was confined to the isolation servers.
 };
 
+/// Result of a request to cancel a job.
+enum class CancelOutcome : std::uint8_t {
+    Cancelled,
+    UnknownJob, ///< No entry knows the job. If it is submitted later, it does not start.
+    Unconfirmed, ///< An entry that may run the job has not confirmed in time.
+};
+
 /// Coordinates the jobs that clients submit to this entry: admits or refuses them, assigns their tasks to agents, restarts slow
 /// and failed runs, and answers the clients. A job that another entry coordinates already is not run again: the client waits for
 /// the outcome there.
 ///
 /// The class has no clock, sockets or threads: callers pass the current time. entry_dispatch.cpp implements the client-facing
-/// side of jobs, entry_joined_jobs.cpp jobs that another entry coordinates, entry_runs.cpp the placement of runs,
-/// entry_crashes.cpp the consequences of server crashes, entry_supervision.cpp the detection of slow runs and servers, and
-/// entry_peers.cpp the protocol with agents and other entries.
+/// side of jobs, entry_cancellation.cpp their cancellation, entry_joined_jobs.cpp jobs that another entry coordinates,
+/// entry_runs.cpp the placement of runs, entry_crashes.cpp the consequences of server crashes, entry_supervision.cpp the
+/// detection of slow runs and servers, and entry_peers.cpp the protocol with agents and other entries.
 class EntryDispatch
 {
 public:
@@ -128,8 +138,11 @@
     /// up; no confirmation is awaited any more.
     void giveUpUnanswered(TimePoint now);
 
-    /// Cancels a job here or at the entry that coordinates it. Returns false if no reachable entry knows the job.
-    bool cancel(TimePoint now, const JobId &id);
+    using CancelCallback = std::function<void(CancelOutcome)>;
+
+    /// Cancels a job here and at all other entries. `whenDone` is called exactly once: as soon as no entry that is in touch can
+    /// start a task of the job any more, or when the client, which waits for `clientTimeout` (zero if unspecified), times out.
+    void cancel(TimePoint now, const JobId &id, Duration clientTimeout, CancelCallback whenDone);
 
     /// State of a job at this entry; Unknown for jobs that were refused or given up, or whose outcome is no longer kept.
     JobStatus::State jobState(const JobId &id) const;
@@ -238,6 +251,29 @@
         TimePoint at;
     };
 
+    /// A cancellation that a client has requested here. It is sent to each entry until that entry confirms it, as an entry that
+    /// does not list the job may have accepted it since.
+    struct Cancellation
+    {
+        struct Recipient
+        {
+            Incarnation incarnation;
+            TimePoint firstSentAt; ///< To this incarnation; zero if not yet.
+            TimePoint lastSentAt;
+            bool confirmed = false;
+        };
+        struct Waiting
+        {
+            TimePoint deadline;
+            CancelCallback whenDone;
+        };
+
+        TimePoint requestedAt;
+        bool known = false; ///< An entry knows the job.
+        std::map<Endpoint, Recipient> recipients;
+        std::vector<Waiting> waiting;
+    };
+
     using Jobs = std::unordered_map<JobId, Job, JobIdHash>;
 
     /// Records a process pause when the last tick is longer ago than pauseThreshold.
@@ -251,6 +287,18 @@
     void joinRemoteJob(TimePoint now, const Endpoint &coordinator, const WaitingClient &client,
                        const std::shared_ptr<const QueueRule> &queue, const JobId &id,
                        const std::shared_ptr<const JobSpec> &spec);
+    /// Records that a job must not start here; false if there are too many such records.
+    bool recordCancelledJob(TimePoint now, const JobId &id);
+    void handleCancel(TimePoint now, const Endpoint &from, EntryPeer &entry, const JobId &id);
+    /// Cancels a job if this entry coordinates it. Returns whether the job is known here.
+    bool cancelHere(TimePoint now, const JobId &id);
+    /// Sends a cancellation to the entries that have not confirmed it.
+    void spreadCancellation(TimePoint now, const JobId &id, Cancellation &cancellation);
+    /// Answers the clients if all entries have confirmed, and those that time out.
+    void answerCancellation(TimePoint now, Cancellation &cancellation);
+    void confirmCancellation(TimePoint now, const Envelope &envelope, const JobStatus &status);
+    void maintainCancellations(TimePoint now);
+    void answerUnconfirmedCancellations();
     /// Cancels a job that this entry coordinates, even if it has been given up while its runs are still being stopped.
     void cancelJob(TimePoint now, Job &job);
     /// Registers another entry for the outcome of a job, and returns the job's state to report to it.
@@ -357,6 +405,10 @@
     Jobs m_jobs;
     std::unordered_map<JobId, JoinedJob, JobIdHash> m_joinedJobs;
     std::unordered_map<JobId, Transfer, JobIdHash> m_transfers;
+    /// Cancellations requested here, also after they have been answered, for entries that restart or are heard again.
+    std::unordered_map<JobId, Cancellation, JobIdHash> m_cancellations;
+    std::unordered_map<JobId, TimePoint, JobIdHash> m_cancelledJobs; ///< Cancelled at any entry, with the time of the request.
+    TimePoint m_cancellationsReviewedAt;
     std::unordered_map<ClientTag, JobId, IdHash> m_clientJobs;
     std::unordered_map<JobId, EndedJob, JobIdHash> m_endedJobs;
     std::deque<std::pair<TimePoint, JobId>> m_endedOrder; ///< Ended jobs with their end times, oldest first.
--- a/src/core/dispatch/entry_joined_jobs.cpp
+++ b/src/core/dispatch/entry_joined_jobs.cpp
@@ -143,48 +143,6 @@
     job.joinedEntries.clear();
 }
 
-bool EntryDispatch::cancel(TimePoint now, const JobId &id)
-{
-    const Jobs::iterator it = m_jobs.find(id);
-    if (it != m_jobs.end()) {
-        cancelJob(now, it->second);
-        return true;
-    }
-    if (const Endpoint *remote = remoteCoordinator(now, id)) {
-        sendToEntry(now, *remote, m_entries.find(*remote)->second, CancelJob{id});
-        return true;
-    }
-    return jobState(id) != JobStatus::State::Unknown;
-}
-
-void EntryDispatch::cancelJob(TimePoint now, Job &job)
-{
-    ++m_counters.cancelled;
-    if (!job.answer) {
-        finish(now, job, JobOutcome::Cancelled, "cancelled");
-        return;
-    }
-    if (stateAfter(*job.answer) != JobStatus::State::Refused) {
-        return;
-    }
-    // The job has been refused or given up, and its runs are being stopped. Clients that have resubmitted it must not start it
-    // anew.
-    job.answer = JobOutcome::Cancelled;
-    if (job.answered) {
-        const std::unordered_map<JobId, EndedJob, JobIdHash>::iterator ended = m_endedJobs.find(job.id);
-        (ended == m_endedJobs.end() ? recordEndedJob(now, job.id, JobStatus::State::Cancelled) : ended->second).state =
-            JobStatus::State::Cancelled;
-    } else {
-        job.reason = "cancelled";
-        answerClients(now, job);
-    }
-    for (const WaitingClient &client : job.resubmittedClients) {
-        m_clientJobs.erase(client.tag);
-        m_clients.answer(client.tag, JobOutcome::Cancelled, "cancelled", Duration(0));
-    }
-    job.resubmittedClients.clear();
-}
-
 void EntryDispatch::maintainJoinedJobs(TimePoint now)
 {
     std::vector<JobId> expired;
--- a/src/core/dispatch/entry_peers.cpp
+++ b/src/core/dispatch/entry_peers.cpp
@@ -147,11 +147,9 @@
         sendToEntry(now, from, entry, JobStatus{join->job, handleJoin(now, from, join->job)});
     } else if (const JobStatus *status = std::get_if<JobStatus>(&envelope.message)) {
         handleJobStatus(now, from, *status);
+        confirmCancellation(now, envelope, *status);
     } else if (const CancelJob *cancel = std::get_if<CancelJob>(&envelope.message)) {
-        const Jobs::iterator job = m_jobs.find(cancel->job);
-        if (job != m_jobs.end()) {
-            cancelJob(now, job->second);
-        }
+        handleCancel(now, from, entry, cancel->job);
     } else if (const ConfigBlob *config = std::get_if<ConfigBlob>(&envelope.message)) {
         handleConfig(*config);
     } else if (std::holds_alternative<ConfigRequest>(envelope.message) && m_config.version > entry.session.configVersion()) {
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -153,6 +153,11 @@
         entry.submit(now, ClientTag(client), queue, Job1, makeSpec(estimate), timeout);
     }
 
+    void cancel(Duration timeout = seconds(2))
+    {
+        entry.cancel(now, Job1, timeout, [this](CancelOutcome outcome) { cancelOutcomes.push_back(outcome); });
+    }
+
     /// Advances the time in ticks, with heartbeats of the agent and the other entry.
     void runFor(Duration length)
     {
@@ -171,6 +176,7 @@
     DiscardingLog log;
     std::shared_ptr<const QueueRule> queue;
     EntryReport otherReport;
+    std::vector<CancelOutcome> cancelOutcomes;
     std::uint64_t lastEvent = 0;
     Duration messageDelay{0}; ///< Time until a message of the entry is echoed.
     EntryDispatch entry;
@@ -478,7 +484,9 @@
     REQUIRE(fixture.clients.answers.at(1) == JobOutcome::GivenUp);
     fixture.submit(2, seconds(2));
     fixture.receiveFromEntry(JoinJob{Job1});
-    REQUIRE(fixture.entry.cancel(fixture.now, Job1));
+    fixture.cancel();
+    fixture.receiveFromEntry(JobStatus{Job1, JobStatus::State::Unknown});
+    REQUIRE(fixture.cancelOutcomes == std::vector<CancelOutcome>{CancelOutcome::Cancelled});
     fixture.receiveReport({EntryFixture::makeEvent(RunEvent::Kind::Ended, RunEnd::Stopped)});
     fixture.runFor(milliseconds(200));
     REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).size() == 1);
@@ -669,14 +677,15 @@
         const bool otherStarts = lastStatus(OtherEntry) == JobStatus::State::Refused;
         const ProcessId starting = otherStarts ? OtherEntry : third;
         const ProcessId waiting = otherStarts ? third : OtherEntry;
-        // Until the list of the one that starts it may have reached the others, they wait, and so does a client here.
+        // The others are told not to start it, also when they ask again. A client here waits for the one that does.
+        REQUIRE(lastStatus(waiting) == JobStatus::State::Transferred);
         fixture.entry.onMessage(fixture.now, fixture.envelopeFrom(waiting, JoinJob{Job1}));
-        REQUIRE(lastStatus(waiting) == JobStatus::State::Active);
+        REQUIRE(lastStatus(waiting) == JobStatus::State::Transferred);
         fixture.submit(2, seconds(2));
         REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).size() == 1);
         REQUIRE(fixture.links.messagesTo<JoinJob>(starting.endpoint).size() == 1);
         // Later, an entry that still does not know of it may start it.
-        fixture.now += seconds(1);
+        fixture.runFor(EntryFixture::settings().timing.transferRetention + milliseconds(30));
         fixture.entry.onMessage(fixture.now, fixture.envelopeFrom(waiting, JoinJob{Job1}));
         REQUIRE(lastStatus(waiting) == JobStatus::State::Unknown);
     }
--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -364,8 +364,11 @@
     REQUIRE(fixture.sendRequest("DELETE", "/jobs/" + id) == 410);
     REQUIRE(fixture.sendRequest("GET", "/jobs/") == 200);
     REQUIRE(fixture.lastExchange->responses.front().body == R"({"pending":0})");
+    // It was cancelled above, and status 410 acknowledges that: it must not start any more.
+    REQUIRE(fixture.sendRequest("POST", "/jobs/" + id, job) == 200);
+    REQUIRE(fixture.lastExchange->responses.front().body == R"({"state":"cancelled"})");
     // No agent is known, so the job is rejected at once, with a Retry-After header.
-    REQUIRE(fixture.sendRequest("POST", "/jobs/" + id, job) == 503);
+    REQUIRE(fixture.sendRequest("POST", "/jobs/0123456789abcdee", job) == 503);
     REQUIRE(fixture.lastExchange->responses.front().header("Retry-After") == "1");
 }
 
