A model of one coordinator for a job, with discrete time

Double runs are found after one pause of an entry, after a cut link and a crash, after two cut links and after restarts of both entries. A gives a job up although B alone has crashed.

Without rule 0, 3 or 5, with joining for 1.2 s only, and with silence taken for death an error is found, as it must be. With the proposed constants, joining for 1.2 s and silence taken for death are not caught with one cut link, as F + S = 1.2 s: these mutations are registered with the first constants.

--- a/spec/coordination.pml
+++ b/spec/coordination.pml
@@ -6,13 +6,23 @@
  * between A and B separately, A-X, B-X; each may heal later), restarts of B, pauses of A or B, crashes of A (with ARESTART it returns as
  * another incarnation).
  *
+ * LATEFAULTS allows faults only after the admission of J, and with PROMPT messages to and from agents arrive in the same tick; both keep the
+ * search small where there are two faults.
+ *
+ * The constants and rules are those first written down, in which the verifier finds double runs after one pause and after two other faults.
+ * PROPOSED: F = 1.0 s; a list is fresh for 1.0 s; a former incarnation counts for 2.0 s; an entry counts as dead only when reports have
+ * arrived without a gap; the list of an entry that has just restarted isn't fresh; a job waits 0.5 s at B while B has no fresh list of A and
+ * A isn't dead. Seeing the restart is modelled coarsely: once B has heard the second incarnation of A, A's lists never count as fresh.
+ *
  * Mutations: NOCONFIRM (A doesn't give J up), NOHOLD (B admits jobs at once after a start), SHORTJOIN (B joins for 1.2 s only), LATEREAD (a
- * request from an ended connection is submitted; its client resubmits at once), NOWITNESS (an entry silent for 1.2 s counts as dead). The
- * verifier must find an error in each. REACH asserts that B never admits J; NEEDLESS asserts that A never gives J up.
+ * request from an ended connection is submitted; its client resubmits at once), NOWITNESS (an entry silent for 1.2 s counts as dead),
+ * DISCOVER (a started B doesn't know A until it hears of it), LATECHECK (rule 3 is checked after the messages of a tick only). The verifier
+ * must find an error in each. REACH asserts that B never admits J after a crash of A; NEEDLESS asserts that A never gives J up; with
+ * NORETURN B doesn't return after a crash.
  *
- * Not modelled: agents that reach different entries, cuts of one direction between an entry and the agents (agents know an entry to be running by an
- * echo, so that either cut ends its runs), messages that arrive more than a tick late, agents that pause or crash, start orders in flight,
- * jobs that A admits after a pause, B's own rule 3, drift of clocks.
+ * Not modelled: agents that reach different entries (a partition with agents on both sides), cuts of one direction between an entry and the
+ * agents (agents know an entry to be running by an echo, so that either cut ends its runs), messages that arrive more than a tick late,
+ * agents that pause or crash, start orders in flight, jobs that A admits after a pause, B's own rule 3 (J never ends at B), drift of clocks.
  */
 
 #ifndef CUTS
@@ -28,6 +38,14 @@
 #define CRASHES 0
 #endif
 
+#ifdef PROPOSED
+#define F 10
+#define WAIT 5
+#define FRESH 10
+#define FORMERD 20
+#define GAP
+#endif
+
 /* Constants of the protocol, in ticks. */
 #ifndef R
 #define R 13                /* a client resubmits this long after the connection broke */
@@ -56,6 +74,9 @@
 #ifndef FRESH
 #define FRESH 12            /* age of a list that makes the wait unnecessary */
 #endif
+#ifndef WAIT
+#define WAIT 0              /* a job waits this long at B while the list of A, which isn't dead, is older than FRESH */
+#endif
 #define AGENT_TIMEOUT 7     /* an agent stops the runs of an entry that it hasn't heard for so long */
 #define WITNESS 4           /* an entry named by an agent within this time is alive */
 #define PAUSE_LIMIT 7
@@ -111,6 +132,11 @@
 byte inXB = 0;              /* 1 + names A + 2 * names B */
 bool listsB = false;        /* A has a list of B with J; with LATEREAD only */
 
+#ifdef PROMPT
+#define delays false        /* messages to and from the agents arrive in the same tick */
+#else
+#define delays true
+#endif
 #ifdef LATEFAULTS
 #define begun (job != NOTYET)
 #else
@@ -128,7 +154,12 @@
 #endif
 #define mayGoOn (!aliveB || (confirmed == NEVER && jobAge < G) || (confirmed != NEVER && confirmed < F))
 #define joined ((listed && ((deadA && listReceived < DEADD) || (!deadA && listReceived < D))) || (formerListed && formerReceived < FORMERD))
-#define mayAdmit (hold == 0 || !knowsA || listSent <= FRESH)
+#ifdef PROPOSED
+#define fresh (listSent <= FRESH && !seesNewA)
+#else
+#define fresh (listSent <= FRESH)
+#endif
+#define mayAdmit (hold == 0 || !knowsA || fresh)
 
 inline older(timer, limit)
 {
@@ -156,12 +187,18 @@
 
 inline receiveXA(message)
 {
+#ifdef GAP
+    if :: reportA > WITNESS -> witnessB = 0 :: else -> skip fi;
+#endif
     reportA = 0;
     if :: message == 2 -> witnessB = 0 :: else -> skip fi
 }
 
 inline receiveXB(message)
 {
+#ifdef GAP
+    if :: reportB > WITNESS -> witnessA = 0 :: else -> skip fi;
+#endif
     reportB = 0;
     if :: (message - 1) % 2 == 1 -> witnessA = 0; knowsA = true :: else -> skip fi;
     if :: (message - 1) / 2 == 1 -> witnessSelf = 0 :: else -> skip fi
@@ -205,7 +242,7 @@
 inline advanceTime()
 {
     parity = 1 - parity;
-    if :: job != NOTYET -> older(jobAge, R) :: else -> skip fi;
+    if :: job != NOTYET -> older(jobAge, R + WAIT) :: else -> skip fi;
     if :: confirmed != NEVER && confirmed < F -> confirmed++ :: else -> skip fi;
     older(reportA, WITNESS + 1);
     older(witnessB, WITNESS + 1);
@@ -260,11 +297,13 @@
         :: atomic { pausesLeft > 0 && activeB && begun && !admittedB -> pausesLeft--; pausedB = true }
         :: d_step { pausedB -> pausedB = false; if :: pauseB > PAUSE_LIMIT -> hold = W :: else -> skip fi; pauseB = 0 }
         :: d_step { restartsLeft > 0 && upB && begun && !admittedB -> restartsLeft--; upB = false; clearB() }
+#ifndef NORETURN
         :: atomic { !upB -> upB = true; hold = W;
 #ifdef DISCOVER
             knowsA = false;
 #endif
             if :: phaseB = 0 :: phaseB = 1 fi }
+#endif
         :: d_step { crashesLeft > 0 && upA && job != NOTYET -> crashesLeft--; upA = false; pausedA = false; job = GIVENUP; confirmed = NEVER;
             inXA = 0; inBA = 0 }
 #ifdef ARESTART
@@ -284,7 +323,7 @@
                 fi;
                 if
                 :: upAX -> d_step { receiveAX(0) }
-                :: upAX -> inAX = true
+                :: upAX && delays -> inAX = true
                 :: !upAX -> skip
                 fi
             :: else -> skip
@@ -300,7 +339,7 @@
                 fi;
                 if
                 :: upBX -> knownB = 0
-                :: upBX -> inBX = true
+                :: upBX && delays -> inBX = true
                 :: !upBX -> skip
                 fi
             :: else -> skip
@@ -311,12 +350,12 @@
             :: parity == phaseX ->
                 if
                 :: upAX && activeA -> d_step { receiveXA(1 + (knownB <= AGENT_TIMEOUT)) }
-                :: upAX && activeA -> inXA = 1 + (knownB <= AGENT_TIMEOUT)
+                :: upAX && activeA && delays -> inXA = 1 + (knownB <= AGENT_TIMEOUT)
                 :: else -> skip
                 fi;
                 if
                 :: upBX && activeB -> d_step { receiveXB(1 + (knownA <= AGENT_TIMEOUT) + 2 * (knownB <= AGENT_TIMEOUT)) }
-                :: upBX && activeB -> inXB = 1 + (knownA <= AGENT_TIMEOUT) + 2 * (knownB <= AGENT_TIMEOUT)
+                :: upBX && activeB && delays -> inXB = 1 + (knownA <= AGENT_TIMEOUT) + 2 * (knownB <= AGENT_TIMEOUT)
                 :: else -> skip
                 fi
             :: else -> skip
@@ -361,13 +400,13 @@
             if
             :: atomic { activeB && !admittedB && !joined && mayAdmit &&
 #ifndef LATEREAD
-                job != NOTYET && jobAge >= R
+                job != NOTYET && jobAge >= R && (jobAge >= R + WAIT || fresh || deadA)
 #else
                 true
 #endif
                 -> admittedB = true
 #ifdef REACH
-                ; assert(false)
+                ; assert(upA || runA)
 #endif
                 }
             :: skip
