The crash of an idle server under a start is noticed at once

Cause: an agent polls only a server that has runs. If the server crashed under the first start there, the start had no answer, nothing was polled, and the crash was reported only when the server had restarted, 3 s later. Meanwhile the task was tried again on other servers. Change: a start without an answer is followed by a poll, if none is on its way. Result: the new case of agent_dispatch_tests fails before.

--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -341,6 +341,10 @@
                     describe(run) + " waited_ms=" + ms(now - record->startedAt)
                         + " not_after=" + std::to_string(record->notAfter.value()));
         requestStop(now, *record);
+        if (!m_pollInFlight) {
+            // An idle server is not polled: this poll shows whether it has crashed under the start.
+            pollServer(now, false);
+        }
         break;
     case StartAnswer::StaleToken:
         raiseTokenFurther(now);
--- a/tests/agent_dispatch_tests.cpp
+++ b/tests/agent_dispatch_tests.cpp
@@ -544,6 +544,22 @@
     REQUIRE(fixture.agent.counters().serverCrashes == 1);
 }
 
+TEST_CASE("The crash of an idle server under its first start is reported before the server has restarted")
+{
+    // Load pattern: a task that has crashed a server is tried again on an idle one, and the next trial needs this crash.
+    AgentFixture fixture;
+    fixture.tickFor(milliseconds(300));
+    fixture.receiveFromEntry(fixture.makeOrder("00000000000000d6", milliseconds(100), milliseconds(90), 1));
+    const RunRef run = fixture.server.starts.at(0).run;
+    const std::uint64_t pollsBefore = fixture.server.polls.size();
+    fixture.agent.onStartAnswered(fixture.now, run, StartAnswer::Unknown, std::nullopt);
+    fixture.tickFor(milliseconds(15));
+    REQUIRE(fixture.server.polls.size() == pollsBefore + 1);
+    fixture.agent.onPollAnswered(fixture.now, fixture.server.lastPollNumber, std::nullopt, PollFailure::Refused);
+    REQUIRE(fixture.lastReport().crashes.size() == 1);
+    REQUIRE(fixture.lastReport().crashes[0].suspects == std::vector<dispatch::TaskRef>{run.task});
+}
+
 TEST_CASE("One crash of a server is reported once, although its runs are settled only after its restart")
 {
     AgentFixture fixture;
