A start without an answer no longer counts for the crash of a run just listed

Cause: a run that the server had listed was taken to have survived its start, though a deadly task crashes its server some milliseconds after it. The start of another task, without an answer, was then the only suspect and counted as begun: the second crash of its job. Change: runs that were listed but started less than 15 ms before the last suspect are suspects too. In return, a crash under a start without an answer counts if the task is the only suspect of a later one.

--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -18,16 +18,28 @@
 /// Highest token. A server that has seen a higher one, from another program, can't be used until it restarts.
 constexpr FencingToken MaxToken(std::int64_t(1) << 62U);
 
+/// A deadly task crashes its server within milliseconds of its start, and the agent notices that a little later. A run that was
+/// started this long before another one has not caused a crash under that one.
+constexpr Duration CrashDelay = milliseconds(15);
+
 /// Sorts the tasks of a crashed server's runs by whether they may have caused the crash. A run that the server has listed as
-/// running has survived its start, so it is a suspect only if there is no other. The same holds for start requests that are still
-/// outstanding, as they may not have reached the server.
+/// running has survived its start, so it is a suspect only if the latest suspect was started hardly later, or if there is no
+/// other. Start requests that are still outstanding are suspects only in the latter case, as they may not have reached the
+/// server.
 ServerCrash analyzeCrash(std::vector<RunRecord> runs)
 {
     // Reports are limited in size, so the likeliest suspects come first.
     std::sort(runs.begin(), runs.end(), [](const RunRecord &a, const RunRecord &b) { return a.startedAt > b.startedAt; });
-    const std::vector<RunRecord>::iterator firstBystander = std::stable_partition(
+    std::vector<RunRecord>::iterator suspectsEnd = std::stable_partition(
         runs.begin(), runs.end(), [](const RunRecord &run) { return !run.listed && run.state != RunRecord::State::Starting; });
-    const std::vector<RunRecord>::iterator suspectsEnd = firstBystander == runs.begin() ? runs.end() : firstBystander;
+    if (suspectsEnd == runs.begin()) {
+        suspectsEnd = runs.end();
+    } else {
+        const TimePoint survivedSince = runs.front().startedAt - CrashDelay;
+        suspectsEnd = std::stable_partition(suspectsEnd, runs.end(), [survivedSince](const RunRecord &run) {
+            return run.listed && run.startedAt > survivedSince;
+        });
+    }
     ServerCrash crash;
     std::set<TaskRef> tasks;
     std::set<QueueKey> queues;
--- a/src/core/dispatch/crash_history.h
+++ b/src/core/dispatch/crash_history.h
@@ -62,6 +62,7 @@
         TimePoint at;
         CrashId id;
         ServerCrash crash;
+        bool confirming = false; ///< See TaskCrashes::confirming.
     };
 
     /// Crashes of servers that had a run of one task.
@@ -69,6 +70,8 @@
     {
         std::int32_t suspected = 0; ///< With a start that the server had confirmed.
         std::int32_t unanswered = 0; ///< As a suspect whose start had no answer.
+        /// As the only suspect, after a crash as a suspect without an answer: most likely the task caused that one as well.
+        std::int32_t confirming = 0;
         std::int32_t all = 0;
     };
 
@@ -81,9 +84,11 @@
     };
 
     static bool exceedsLimit(const TaskCrashes &crashes) noexcept;
+    /// Whether the only suspect is a task that was suspected before, with a start that had no answer.
+    bool isConfirming(const ServerCrash &crash) const;
     /// Adds a crash under one task, or removes it.
-    void update(const TaskRef &task, std::int32_t TaskCrashes::*counter, bool add);
-    void updateAll(const ServerCrash &crash, bool add);
+    void update(const TaskRef &task, std::int32_t TaskCrashes::*counter, bool confirming, bool add);
+    void updateAll(const Record &record, bool add);
 
     std::deque<Record> m_records; ///< Oldest first.
     std::set<CrashId> m_known;
--- a/tests/crash_history_tests.cpp
+++ b/tests/crash_history_tests.cpp
@@ -190,3 +190,31 @@
     history.record(at(seconds(2)), agent(3), ServerCrash{1, {}, {task(0)}, {}, {Deadly}});
     REQUIRE(history.exceedsLimit(task(0).job));
 }
+
+TEST_CASE("A task that crashes a second server as the only suspect is given up, even if its first start had no answer")
+{
+    const TaskRef other{*JobId::parse("00000000000000b1"), 0, 0, 0};
+    CrashHistory history;
+    history.record(at(seconds(0)), agent(1), ServerCrash{1, {other}, {task(0)}, {}, {Deadly}});
+    SECTION("as the only suspect")
+    {
+        history.record(at(seconds(1)), agent(2), crash(1, {task(0)}, {task(1)}));
+        REQUIRE(history.exceedsLimit(task(0).job));
+        // The later crash alone proves nothing.
+        history.expire(at(milliseconds(30500)));
+        REQUIRE_FALSE(history.exceedsLimit(task(0).job));
+        REQUIRE(history.isSuspect(task(0)));
+        history.expire(at(milliseconds(31500)));
+        REQUIRE_FALSE(history.hasSuspect(task(0).job));
+    }
+    SECTION("not as one of several")
+    {
+        history.record(at(seconds(1)), agent(2), crash(1, {task(0), task(1)}));
+        REQUIRE_FALSE(history.exceedsLimit(task(0).job));
+    }
+    SECTION("not beside a start that had no answer either")
+    {
+        history.record(at(seconds(1)), agent(2), ServerCrash{1, {task(0)}, {task(1)}, {}, {Deadly}});
+        REQUIRE_FALSE(history.exceedsLimit(task(0).job));
+    }
+}
