The list of an entry that has just restarted does not show that its former jobs have ended

What callers would see: two runs of a task when two entries restart within half a second of each other and a client resubmits to one of them. Cause: the list of the other one, which is recent, can't contain the jobs of its former incarnation, whose runs the agents have not stopped yet; it counted as a list without the job.

Heartbeats state how long the sender has been running; its list counts as recent after one second, when the runs have been stopped. In the test of a restarted coordinator the entry itself has been running for longer than it would hold jobs back.

--- a/src/adapters/dispatch_codec.cpp
+++ b/src/adapters/dispatch_codec.cpp
@@ -144,6 +144,7 @@
         for (const JobKey &job : from.activeJobs) {
             report->add_active_jobs(job.value());
         }
+        report->set_uptime_us(from.uptime.count());
         report->set_confirmed_list_us(from.confirmedList.time_since_epoch().count());
     }
 
@@ -331,6 +332,7 @@
         for (const std::uint64_t job : from.entry().active_jobs()) {
             report.activeJobs.emplace_back(job);
         }
+        report.uptime = Duration(from.entry().uptime_us());
         report.confirmedList = TimePoint(Duration(from.entry().confirmed_list_us()));
         return report;
     }
--- a/src/core/dispatch/coordination.h
+++ b/src/core/dispatch/coordination.h
@@ -34,6 +34,9 @@
     Duration admissionHold = seconds(2);
     /// Maximum age of a recent list: a job that was admitted later elsewhere is not resubmitted yet.
     Duration recentListAge = seconds(1);
+    /// The list of an entry does not contain the jobs of its former incarnation, whose runs may not have stopped until the entry
+    /// has been running for this long. By then agents have stopped them.
+    Duration formerRunsTimeout = seconds(1);
     /// An entry counts as alive for this long after the last report in which an agent named it. Two intervals of these reports,
     /// and delays.
     Duration namedTimeout = milliseconds(700);
@@ -53,7 +56,9 @@
 {
     TimePoint sentAt; ///< Sending time of the latest list received, on the other entry's clock.
     TimePoint receivedAt; ///< When that list arrived.
-    TimePoint notOlderThan; ///< Lower bound of its sending time; zero if there is none.
+    /// Lower bound of the sending time of the latest list of an entry that has no runs of a former incarnation; zero if there is
+    /// none.
+    TimePoint notOlderThan;
     TimePoint confirmed; ///< Sending time of the latest list of this entry that the other one has confirmed.
     TimePoint namedAt; ///< When an agent last named the other entry as alive.
     TimePoint aliveSince; ///< When an agent first named it after it had not counted as alive.
--- a/src/core/dispatch/entry_peers.cpp
+++ b/src/core/dispatch/entry_peers.cpp
@@ -103,7 +103,9 @@
     lists.sentAt = envelope.sentAt;
     lists.receivedAt = now;
     const std::optional<Duration> age = PeerSession::maxAge(envelope, now);
-    lists.notOlderThan = age ? std::max(lists.notOlderThan, now - *age) : lists.notOlderThan;
+    if (age && report.uptime >= m_settings.timing.coordination.formerRunsTimeout) {
+        lists.notOlderThan = std::max(lists.notOlderThan, now - *age);
+    }
 }
 
 void EntryDispatch::handleEntryMessage(TimePoint now, const Envelope &envelope)
@@ -318,6 +320,7 @@
             EntryReport heartbeat = makeHeartbeat(now, entry.entryList, entries);
             heartbeat.activeJobs = jobs;
             heartbeat.confirmedList = entry.lists.sentAt;
+            heartbeat.uptime = now - m_startedAt;
             sendToEntry(now, it->first, entry, std::move(heartbeat));
         }
         ++it;
--- a/src/core/dispatch/messages.h
+++ b/src/core/dispatch/messages.h
@@ -109,6 +109,7 @@
     std::vector<JobKey> activeJobs; ///< Jobs that it coordinates at present; filled in only for other entries.
     /// Sending time, on the receiver's clock, of the latest such list of the receiver that the sender has received; zero if none.
     TimePoint confirmedList;
+    Duration uptime{0}; ///< How long the sender has been running.
 };
 
 /// Request of an entry to the entry that coordinates a job: asks for the state of the job now, and again when the job ends.
