Two entries that wait for each other's job don't both start it; entries of older versions need not confirm

What callers would see: two runs of a task after a job was given up, if the entry that it was left to misses that and asks again while a client resubmits at the first one: each answers that it does not know the job, and both start it. An entry that waits for a job itself now says that the job is active; of two that wait for each other the one with the lower address starts it.

An entry of an older version confirms no list; without this change, jobs of more than 1.1 s would be given up beside it during an update. A heartbeat without an uptime shows such a version. A list that was sent at the moment of an admission does not count as containing the job.

Found by review.

--- a/src/core/dispatch/coordination.h
+++ b/src/core/dispatch/coordination.h
@@ -61,6 +61,7 @@
     TimePoint notOlderThan;
     TimePoint confirmed; ///< Sending time of the latest list of this entry that the other one has confirmed.
     TimePoint namedAt; ///< When an agent last named the other entry as alive.
+    bool confirms = true; ///< False for an entry of a version that does not confirm lists.
     TimePoint aliveSince; ///< When an agent first named it after it had not counted as alive.
 };
 
@@ -70,7 +71,7 @@
                         TimePoint confirmed) noexcept
 {
     return now - requestedAt < timing.unconfirmedJobTimeout
-        || (confirmed >= admittedAt && now - confirmed < timing.confirmationTimeout);
+        || (confirmed > admittedAt && now - confirmed < timing.confirmationTimeout);
 }
 
 /// Applies the rules for one entry. It has no clock: callers pass the current time.
@@ -106,7 +107,7 @@
     /// Whether the confirmations of the other entry count at present: it may admit jobs.
     bool mustConfirm(TimePoint now, const ListExchange &other) const noexcept
     {
-        return isAlive(other) && now - other.aliveSince >= m_timing.firstConfirmationTimeout;
+        return other.confirms && isAlive(other) && now - other.aliveSince >= m_timing.firstConfirmationTimeout;
     }
 
     /// Whether this entry may go on with a job, as far as the other entry is concerned. Its client's request arrived at
--- a/src/core/dispatch/entry_joined_jobs.cpp
+++ b/src/core/dispatch/entry_joined_jobs.cpp
@@ -55,6 +55,13 @@
 {
     const Jobs::iterator job = m_jobs.find(id);
     const JobStatus::State state = jobState(id);
+    const std::unordered_map<JobId, JoinedJob, JobIdHash>::const_iterator joined = m_joinedJobs.find(id);
+    if (joined != m_joinedJobs.end()) {
+        // This entry waits for the job too, and may start it. If two entries wait for each other, the one with the lower address
+        // starts it.
+        const bool otherStarts = joined->second.coordinator == from && from < m_settings.self.endpoint;
+        return otherStarts ? JobStatus::State::Unknown : JobStatus::State::Active;
+    }
     if (job == m_jobs.end()) {
         return state == JobStatus::State::Unknown ? transfer(now, from, id, state) : state;
     }
--- a/src/core/dispatch/entry_peers.cpp
+++ b/src/core/dispatch/entry_peers.cpp
@@ -95,6 +95,7 @@
 void EntryDispatch::receiveActiveJobs(TimePoint now, const Envelope &envelope, const EntryReport &report, EntryPeer &entry)
 {
     ListExchange &lists = entry.lists;
+    lists.confirms = report.uptime > Duration(0);
     lists.confirmed = std::max(lists.confirmed, std::min(report.confirmedList, now));
     if (envelope.sentAt < lists.sentAt) {
         return;
--- a/tests/dispatch_codec_tests.cpp
+++ b/tests/dispatch_codec_tests.cpp
@@ -88,6 +88,31 @@
     REQUIRE(std::get<EntryReport>(decode(encode(envelope))->message).activeJobs == report.activeJobs);
 }
 
+TEST_CASE("Confirmations of lists, names of live entries and the times of an order are transmitted")
+{
+    Envelope envelope = sampleReport();
+    envelope.confirmedLists = TimePoint(seconds(6));
+    REQUIRE_FALSE(std::get<AgentReport>(decode(encode(envelope))->message).liveEntries);
+    const std::vector<Endpoint> live{Endpoint{0x0A000002, 7000}};
+    std::get<AgentReport>(envelope.message).liveEntries = live;
+    REQUIRE(std::get<AgentReport>(decode(encode(envelope))->message).liveEntries == live);
+    REQUIRE(decode(encode(envelope))->confirmedLists == TimePoint(seconds(6)));
+    EntryReport report;
+    report.confirmedList = TimePoint(seconds(5));
+    report.uptime = seconds(3);
+    envelope.message = report;
+    REQUIRE(std::get<EntryReport>(decode(encode(envelope))->message).confirmedList == TimePoint(seconds(5)));
+    REQUIRE(std::get<EntryReport>(decode(encode(envelope))->message).uptime == seconds(3));
+    StartOrder order;
+    order.job = *JobId::parse("0123456789ABcdef");
+    order.payload = std::make_shared<const std::string>("x");
+    order.requestedAt = TimePoint(seconds(7));
+    order.admittedAt = TimePoint(seconds(8));
+    envelope.message = order;
+    REQUIRE(std::get<StartOrder>(decode(encode(envelope))->message).requestedAt == TimePoint(seconds(7)));
+    REQUIRE(std::get<StartOrder>(decode(encode(envelope))->message).admittedAt == TimePoint(seconds(8)));
+}
+
 TEST_CASE("Corrupted messages are rejected or decoded without a crash")
 {
     std::mt19937_64 random(11);
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -748,3 +748,68 @@
     REQUIRE(receive(4, TimePoint(seconds(2)), TimePoint(seconds(113))) == PeerSession::Arrival::Outdated);
     REQUIRE(receive(4, TimePoint(seconds(9)), TimePoint(seconds(120))) == PeerSession::Arrival::NewIncarnation);
 }
+
+TEST_CASE("Two entries that wait for each other's job don't both start it")
+{
+    // Scenario: an entry gives a job up and leaves it to another one, which misses that and asks again, while a client resubmits
+    // here and this entry asks the other one.
+    EntryFixture fixture;
+    fixture.otherReport.activeJobs = {Job1.key()};
+    fixture.receiveFromEntry(fixture.otherReport);
+    fixture.submit(1, seconds(2));
+    REQUIRE(fixture.links.messagesTo<JoinJob>(OtherEntry.endpoint).size() == 1);
+    fixture.receiveFromEntry(JoinJob{Job1});
+    // This entry has the lower address.
+    REQUIRE(fixture.links.messagesTo<JobStatus>(OtherEntry.endpoint).back().state == JobStatus::State::Active);
+    fixture.receiveFromEntry(JobStatus{Job1, JobStatus::State::Unknown});
+    REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).size() == 1);
+}
+
+namespace
+{
+
+/// Has the agent name both entries as alive while time passes.
+void runWithNames(EntryFixture &fixture, Duration length, bool confirming)
+{
+    const TimePoint end = fixture.now + length;
+    while (fixture.now < end) {
+        fixture.now += milliseconds(15);
+        AgentReport report = fixture.makeReport();
+        report.liveEntries = std::vector<Endpoint>{Self.endpoint, OtherEntry.endpoint};
+        fixture.entry.onMessage(fixture.now, fixture.envelopeFrom(Agent, std::move(report)));
+        if (confirming) {
+            fixture.otherReport.confirmedList = fixture.now;
+        }
+        fixture.receiveFromEntry(fixture.otherReport);
+        fixture.entry.onTick(fixture.now);
+    }
+}
+
+} // namespace
+
+TEST_CASE("A job that a live entry does not confirm is given up before its client submits it there")
+{
+    const bool confirming = GENERATE(true, false);
+    EntryFixture fixture;
+    runWithNames(fixture, seconds(3), true);
+    fixture.submit(1, seconds(4), seconds(1));
+    fixture.receiveReport({EntryFixture::makeEvent(RunEvent::Kind::Started)});
+    runWithNames(fixture, milliseconds(1080), confirming);
+    REQUIRE(fixture.clients.answers.empty());
+    runWithNames(fixture, milliseconds(60), confirming);
+    REQUIRE(fixture.clients.answers.empty() == confirming);
+    REQUIRE(fixture.links.messagesTo<StopOrder>(Agent.endpoint).size() == (confirming ? 0 : 1));
+}
+
+TEST_CASE("An entry that has just started admits no job until it has lists from the other live entries")
+{
+    EntryFixture fixture;
+    fixture.otherReport.uptime = milliseconds(10);
+    fixture.entry.addEntries(fixture.now, {Endpoint{3, 7000}});
+    REQUIRE_FALSE(fixture.entry.mayAdmit(fixture.now));
+    fixture.submit(1, seconds(2));
+    REQUIRE(fixture.clients.answers.at(1) == JobOutcome::GivenUp);
+    REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).empty());
+    fixture.runFor(EntryFixture::settings().timing.coordination.admissionHold);
+    REQUIRE(fixture.entry.mayAdmit(fixture.now));
+}
