A list counts as recent once its sender has been running for 0.8 s

With 1 s, entries that start together held back the first jobs, which came 1 s after the start (dispatch_tests, "Without faults or overload ...": three jobs answered 504, and one refused later as the random load had shifted). Agents stop the runs of a former incarnation 0.9 s after its end, and a restart takes 0.1 s or more.

--- a/src/core/dispatch/coordination.h
+++ b/src/core/dispatch/coordination.h
@@ -35,8 +35,9 @@
     /// Maximum age of a recent list: a job that was admitted later elsewhere is not resubmitted yet.
     Duration recentListAge = seconds(1);
     /// The list of an entry does not contain the jobs of its former incarnation, whose runs may not have stopped until the entry
-    /// has been running for this long. By then agents have stopped them.
-    Duration formerRunsTimeout = seconds(1);
+    /// has been running for this long. Agents have stopped them 0.9 s after its former incarnation ended, and a restart takes 0.1
+    /// s or more.
+    Duration formerRunsTimeout = milliseconds(800);
     /// An entry counts as alive for this long after the last report in which an agent named it. Two intervals of these reports,
     /// and delays.
     Duration namedTimeout = milliseconds(700);
