--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -728,7 +728,7 @@
 
 TEST_CASE("A late message of a former incarnation does not replace the present one, however long that is silent")
 {
-    constexpr ProcessId Peer{Endpoint{2, 7000}, Incarnation(0)};
+    static constexpr ProcessId Peer{Endpoint{2, 7000}, Incarnation(0)};
     PeerSession session(TimePoint(seconds(100)));
     const auto receive = [&session](std::uint64_t incarnation, TimePoint sentAt, TimePoint now) {
         dispatch::Envelope envelope;
