--- a/review/harness.py
+++ b/review/harness.py
@@ -368,11 +368,19 @@
             writer.transport.abort()
 
 
-def free_ports(count):
-    sockets = [socket.create_server(("0.0.0.0", 0)) for _ in range(count)]
-    ports = [s.getsockname()[1] for s in sockets]
-    for s in sockets:
-        s.close()
+def free_ports(count, addresses):
+    """Ports that are free on all of the loopback addresses."""
+    ports = []
+    while len(ports) < count:
+        with socket.create_server((addresses[0], 0)) as probe:
+            port = probe.getsockname()[1]
+        try:
+            for address in addresses:
+                socket.create_server((address, port)).close()
+        except OSError:
+            continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
@@ -403,14 +411,17 @@
         self.entries = ["127.%d.1.%d" % (net, n + 1) for n in range(entries)]
         self.agents = ["127.%d.2.%d" % (net, n + 1) for n in range(agents)]
         self.platform = "127.%d.3.1" % net
-        self.peer_port, self.metrics_port, self.client_port, self.ready_port, self.control_port, self.app_port, store_port = free_ports(7)
+        self.network = PeerNetwork() if relayed_peers else None
+        hosts = self.entries + self.agents
+        hosts += [self.peer_host(ip) for ip in hosts] + [self.platform]
+        (self.peer_port, self.metrics_port, self.client_port, self.ready_port, self.control_port, self.app_port,
+         store_port) = free_ports(7, sorted(set(hosts)))
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.roles = tomllib.load(file)["roles"]
         self.store = Store((self.platform, store_port))
         self.routes = [{"name": "r-print", "host": HOST, "prefix": PREFIX, "type": "non_idempotent", "timeout_ms": 1500,
                         "target_latency_ms": 60, "priority": 0, "service": SERVICE, "max_attempts": 4, "slack_factor": 1.6}]
         self.configure(1)
-        self.network = PeerNetwork() if relayed_peers else None
         if self.network:
             for ip in self.entries + self.agents:
                 self.network.add((self.peer_host(ip), self.peer_port), (ip, self.peer_port))
