Agents log the lease that remains when a coordinator is lost, and how long stops take

The logs did not tell whether runs of a lost coordinator ended late because their stops came late or because the lease of the server was still being extended. coordinator-lost now has the silence of the coordinator and the remaining lease, run-ended the time since the stop was requested. No decision changes; agent_dispatch_tests pass.

--- a/src/core/dispatch/agent_dispatch.cpp
+++ b/src/core/dispatch/agent_dispatch.cpp
@@ -298,8 +298,9 @@
         m_runTimes.record(event.ran);
     } else {
         m_log.write(LogLevel::Info, "run-ended",
-                    describe(record.ref) + " how=" + toString(outcome) + " reason=" + toString(reason)
-                        + " ran_ms=" + ms(event.ran) + " waiting=" + std::to_string(m_ledger.waiting()) + " free_cpu="
+                    describe(record.ref) + " how=" + toString(outcome) + " reason=" + toString(reason) + " ran_ms="
+                        + ms(event.ran) + (record.stopRequested ? " stopping_ms=" + ms(now - record.stopRequestedAt) : "")
+                        + " waiting=" + std::to_string(m_ledger.waiting()) + " free_cpu="
                         + std::to_string(m_ledger.free().cpuMilli) + " coordinator=" + toString(record.coordinator.endpoint));
     }
     if (record.coordinator.incarnation != Incarnation()) {
@@ -309,7 +310,10 @@
 
 void AgentDispatch::requestStop(TimePoint now, RunRecord &record)
 {
-    record.stopRequested = true;
+    if (!record.stopRequested) {
+        record.stopRequested = true;
+        record.stopRequestedAt = now;
+    }
     if (record.state == RunRecord::State::Starting || !m_serverIncarnation || record.stopAcknowledged) {
         return;
     }
@@ -326,8 +330,10 @@
         }
     }
     if (!tasks.empty()) {
+        const TimePoint aliveAt = m_coordinators.at(coordinator).lastKnownAliveAt;
         m_log.write(LogLevel::Warning, "coordinator-lost",
-                    "coordinator=" + toString(coordinator) + " reason=\"" + cause + "\" runs=" + std::to_string(tasks.size()));
+                    "coordinator=" + toString(coordinator) + " reason=\"" + cause + "\" runs=" + std::to_string(tasks.size())
+                        + " silent_ms=" + ms(now - aliveAt) + " lease_ms=" + std::to_string(remainingLeaseMs(now)));
     }
     for (const TaskRef &task : tasks) {
         RunRecord &record = *m_ledger.find(task);
--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -226,6 +226,8 @@
     void recordEnd(TimePoint now, RunRecord &record, RunEnd outcome, RefusalReason reason, bool serverUnresponsive);
     void requestStop(TimePoint now, RunRecord &record);
     void stopRunsOf(TimePoint now, const Endpoint &coordinator, const char *cause);
+    /// Time until the lease of the server's runs expires, if its clock runs at the lowest rate; negative after that.
+    std::int64_t remainingLeaseMs(TimePoint now) const noexcept;
     /// Handles an announcement of another incarnation than the one in use.
     void handleOtherIncarnation(TimePoint now, const ServerAnnouncement &announcement);
     /// Decides from the response to a poll whether m_announcedIncarnation runs at the server, and uses it if so. Returns whether
--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -423,6 +423,11 @@
     }
 }
 
+std::int64_t AgentDispatch::remainingLeaseMs(TimePoint now) const noexcept
+{
+    return m_clock.known() ? m_leaseUntil.value() - m_clock.lowerBound(now).value() : 0;
+}
+
 void AgentDispatch::pollServer(TimePoint now, bool longPoll)
 {
     if (!m_serverIncarnation) {
@@ -628,7 +633,7 @@
     if (!m_serverIncarnation) {
         return;
     }
-    const bool leaseExpired = m_clock.known() && m_clock.lowerBound(now).value() > m_leaseUntil.value() + LeaseMarginMs;
+    const bool leaseExpired = m_clock.known() && remainingLeaseMs(now) < -LeaseMarginMs;
     std::vector<RunRecord> lost;
     for (RunLedger::Records::value_type &entry : m_ledger.records()) {
         RunRecord &record = entry.second;
--- a/src/core/dispatch/run_ledger.h
+++ b/src/core/dispatch/run_ledger.h
@@ -44,6 +44,7 @@
     bool serverRestarted = false;
     bool stopRequested = false;
     bool stopAcknowledged = false;
+    TimePoint stopRequestedAt; ///< When the first stop was requested; zero if none was.
     TimePoint stopSentAt;
 };
 
