Stops of many runs do not wait for a timer

Cause: an agent sent all stops at once. The HTTP client refuses more than 32 calls at a time, and a refused stop was repeated after 25 ms by a tick: 31 stops in 33 ms, whatever the server could take.

Change: at most 20 stops are in progress, beside starts and polls; the next one is sent when one ends.

A platform call that stops all runs of a server at once does not exist, and a lease can't be shortened.

--- a/src/core/dispatch/agent_dispatch.cpp
+++ b/src/core/dispatch/agent_dispatch.cpp
@@ -332,10 +332,40 @@
     if (record.state == RunRecord::State::Starting || !m_serverIncarnation || record.stopAcknowledged) {
         return;
     }
+    sendStop(now, record);
+}
+
+void AgentDispatch::sendStop(TimePoint now, RunRecord &record)
+{
+    if (record.stopWaiting) {
+        return;
+    }
+    if (m_stopsInFlight >= m_settings.timing.maxStopsInFlight) {
+        record.stopWaiting = true;
+        m_waitingStops.push_back(record.ref);
+        return;
+    }
     record.stopSentAt = now;
+    ++m_stopsInFlight;
     m_server.stop(RunStop{*m_serverIncarnation, record.ref, m_token});
 }
 
+void AgentDispatch::sendWaitingStops(TimePoint now)
+{
+    while (m_serverIncarnation && m_stopsInFlight < m_settings.timing.maxStopsInFlight && !m_waitingStops.empty()) {
+        const RunRef run = m_waitingStops.front();
+        m_waitingStops.pop_front();
+        RunRecord *record = m_ledger.find(run.task);
+        if (record == nullptr || record->ref != run || !record->stopWaiting) {
+            continue;
+        }
+        record->stopWaiting = false;
+        if (!record->stopAcknowledged) {
+            sendStop(now, *record);
+        }
+    }
+}
+
 void AgentDispatch::stopRunsOf(TimePoint now, const Endpoint &coordinator, const char *cause)
 {
     std::vector<TaskRef> tasks;
--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -71,6 +71,8 @@
     CoordinationTiming coordination;
     std::uint32_t maxStartAttempts = 4; ///< Maximum number of times that a start request is sent.
     std::size_t maxStartsInFlight = 10; ///< Concurrent start requests, one connection each; polls use another connection.
+    /// Concurrent stop requests, one connection each, beside those of starts and polls.
+    std::size_t maxStopsInFlight = 20;
     std::size_t maxWaiting = 512; ///< Maximum number of queued tasks.
 };
 
@@ -238,6 +240,9 @@
     void refuseRun(TimePoint now, const RunRecord &record, RefusalReason reason);
     void recordEnd(TimePoint now, RunRecord &record, RunEnd outcome, RefusalReason reason, bool serverUnresponsive);
     void requestStop(TimePoint now, RunRecord &record);
+    /// Sends the stop of a run, or has it wait while too many are in progress.
+    void sendStop(TimePoint now, RunRecord &record);
+    void sendWaitingStops(TimePoint now);
     void stopRunsOf(TimePoint now, const Endpoint &coordinator, const char *cause);
     /// Fixes the limit of a run's lifetime, unless it has an earlier one.
     static void limitRun(RunRecord &record, TimePoint limit);
@@ -346,6 +351,8 @@
     std::uint64_t m_endsSeen = 0; ///< Highest number of a processed finished run; the next poll acknowledges it.
     bool m_endsUnacknowledged = false; ///< The latest inventory has new finished runs that no poll has acknowledged.
     std::size_t m_startsInFlight = 0;
+    std::size_t m_stopsInFlight = 0;
+    std::deque<RunRef> m_waitingStops; ///< Runs whose stops wait for a call in progress to end; some may have ended.
 
     CrashReports m_crashReports;
     bool m_crashRecorded = false; ///< The crash of the present incarnation of the server has been recorded.
--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -412,6 +412,8 @@
     if (clock) {
         m_clock.observe(*clock, now);
     }
+    m_stopsInFlight -= m_stopsInFlight > 0 ? 1 : 0;
+    sendWaitingStops(now);
     RunRecord *record = m_ledger.find(run.task);
     if (record == nullptr || record->ref != run || !acknowledged) {
         return;
@@ -561,7 +563,11 @@
         } else if (record->ref != listed.run) {
             // It counts as ended or never started, and another run of the task is recorded: that one must not start beside it.
             m_log.write(LogLevel::Warning, "foreign-run", describe(listed.run));
-            m_server.stop(RunStop{*m_serverIncarnation, listed.run, m_token});
+            // The next poll repeats it if too many are in progress.
+            if (m_stopsInFlight < m_settings.timing.maxStopsInFlight) {
+                ++m_stopsInFlight;
+                m_server.stop(RunStop{*m_serverIncarnation, listed.run, m_token});
+            }
             foreignRunListed = true;
             continue;
         }
--- a/src/core/dispatch/run_ledger.h
+++ b/src/core/dispatch/run_ledger.h
@@ -47,6 +47,7 @@
     /// Fixed limit of the run's lifetime, on this process's clock, once its coordinator has been lost; zero before.
     TimePoint limit;
     TimePoint stopRequestedAt; ///< When the first stop was requested; zero if none was.
+    bool stopWaiting = false; ///< The stop waits for one of the calls in progress to end.
     TimePoint stopSentAt;
 };
 
--- a/tests/agent_dispatch_tests.cpp
+++ b/tests/agent_dispatch_tests.cpp
@@ -814,6 +814,28 @@
     REQUIRE(fixture.agent.ledger().waiting() == 0);
 }
 
+TEST_CASE("The stops of a lost coordinator's many runs do not wait for a timer")
+{
+    AgentFixture fixture;
+    fixture.announce(Resources{300000, 10000, 0});
+    fixture.tickFor(milliseconds(300));
+    fixture.receiveFromEntry(fixture.makeOrder("00000000000000f1", milliseconds(900), milliseconds(90), 100));
+    for (std::size_t i = 0; i < fixture.server.starts.size(); ++i) {
+        const dispatch::RunRef run = fixture.server.starts[i].run;
+        fixture.agent.onStartAnswered(fixture.now, run, StartAnswer::Accepted, fixture.serverClock());
+    }
+    REQUIRE(fixture.server.starts.size() == 100);
+    fixture.entryIncarnation = Incarnation(4);
+    fixture.receiveFromEntry(EntryReport());
+    // The HTTP client refuses more than 32 calls at a time.
+    REQUIRE(fixture.server.stops.size() == 20);
+    for (std::size_t i = 0; i < fixture.server.stops.size(); ++i) {
+        const dispatch::RunRef run = fixture.server.stops[i].run;
+        fixture.agent.onStopAnswered(fixture.now, run, true, fixture.serverClock());
+    }
+    REQUIRE(fixture.server.stops.size() == 100);
+}
+
 TEST_CASE("The deregistration of a server ends its runs only once the server does not respond any more")
 {
     // Scenario: a server that leaves restarts under its id, and its deregistration arrives after the new incarnation has begun
