Simulation: faults of single agents and of stop calls at set times, and limited calls to servers

Servers and agents can be made to lose stop calls or to carry them out late while polls are answered, to lose contact with each other, to end, to pause and to be slow for a set time; entries are killed at set times. An agent may have a limited number of calls outstanding, beyond which they are not sent, and the clocks of servers may run slow.

--- a/tests/dispatch_simulation.cpp
+++ b/tests/dispatch_simulation.cpp
@@ -32,6 +32,9 @@
 constexpr Duration MaxCoordinatorKillDelay = seconds(1);
 constexpr double AllTasksDeadlyRate = 0.5; ///< Fraction of deadly jobs whose tasks are all deadly.
 constexpr std::uint32_t MaxCrashesPerTask = 3; ///< A task under which this many servers have crashed must not be started again.
+/// For ScheduledAgentFault::Kind::LateStops: time from the sending of a stop call until it is carried out.
+constexpr Duration MinStopDelay = milliseconds(700);
+constexpr Duration MaxStopDelay = milliseconds(3000);
 /// What a call returns if nothing listens at the address of the server.
 constexpr StartAnswer RefusedStartAnswer = StartAnswer::Refused;
 constexpr PollFailure RefusedPollFailure = PollFailure::Refused;
@@ -197,6 +200,9 @@
     void drawDeadlyTasks(ClientJob &job, std::uint32_t tasks);
     /// Schedules SimulationSettings::serverCrashes.
     void scheduleServerCrashes();
+    /// Schedules SimulationSettings::entryKills and agentFaults.
+    void scheduleFaults();
+    void injectAgentFault(const ScheduledAgentFault &fault);
     /// Injects a random process fault and schedules the next one.
     void injectFault();
     /// Sets the CPU capacity of a backend server. Starts may still rely on the former one until it has been announced.
@@ -316,6 +322,10 @@
     std::uint64_t lastBrokenCall = 0; ///< Calls up to this number were made before the latest crash; none of them times out.
     std::map<std::uint64_t, Action> openCalls; ///< By call number: tells the caller that the connection broke.
 
+    double clockRate = 1.0;
+    TimePoint cutUntil; ///< Until then, its agent can't reach it.
+    TimePoint stopsLostUntil; ///< As in ScheduledAgentFault.
+    TimePoint stopsLateUntil; ///< As in ScheduledAgentFault.
     std::int64_t cpuMilli = 0;
     std::map<TimePoint, std::int64_t> formerCpuMilli; ///< Former capacities, by the time until which starts may rely on them.
     TimePoint restartNoticeUntil; ///< Until then, starts in transit during a restart may rely on the former capacity.
@@ -353,7 +363,16 @@
     /// The server's own clock, which starts at 5 s with each incarnation.
     std::int64_t clockMs(TimePoint now) const
     {
-        return 5000 + std::chrono::duration_cast<milliseconds>(now - startedAt).count();
+        const Duration elapsed(static_cast<std::int64_t>(static_cast<double>((now - startedAt).count()) * clockRate));
+        return 5000 + std::chrono::duration_cast<milliseconds>(elapsed).count();
+    }
+
+    /// Extends the lease to a time on the server's clock, which is later than now.
+    void extendLease(TimePoint now, std::int64_t untilMs)
+    {
+        const Duration length = milliseconds(std::min(untilMs - clockMs(now), MaxLeaseMs));
+        const Duration realLength(static_cast<std::int64_t>(static_cast<double>(length.count()) / clockRate));
+        leaseUntil = std::max(leaseUntil, now + realLength);
     }
 };
 
@@ -398,12 +417,16 @@
     {
         Action unanswered; ///< The call timed out or its connection broke.
         Action refused; ///< The connection was refused.
+        Action notSent; ///< Too many calls are outstanding.
     };
 
+    enum class CallFate : std::uint8_t { Normal, Late, Lost };
+
     /// Executes a call at the backend server of this agent, with random faults, and delivers the response that `execute` returns.
     /// If that response is empty, `execute` delivers one later itself and removes the call from Server::openCalls, by its number.
     /// The call times out if the response is lost, or if the server is silent when the call is made.
-    void callServer(const std::function<Action(Server &, std::uint64_t call)> &execute, CallFailure failure, Duration timeout);
+    void callServer(const std::function<Action(Server &, std::uint64_t call)> &execute, CallFailure failure, Duration timeout,
+                    CallFate fate = CallFate::Normal);
     /// An action that runs in this process unless it has ended by then.
     Action inThisIncarnation(Action action);
 
@@ -414,7 +437,9 @@
     TimestampedLog log;
     std::uint64_t generation = 0; ///< Incremented at each start; actions of earlier generations are dropped.
     bool up = false;
-    TimePoint pausedUntil; ///< Until then the process is paused.
+    TimePoint pausedUntil; ///< Until then the process is paused or busy.
+    TimePoint slowUntil; ///< Until then each call takes SimulationSettings::slowCallTime.
+    std::set<std::uint64_t> outstandingCalls; ///< Numbers of the calls that this process waits for.
     std::unique_ptr<EntryDispatch> entry;
     std::unique_ptr<AgentDispatch> agent;
     std::map<ClientTag, std::shared_ptr<ClientJob>> clients;
@@ -498,10 +523,19 @@
 }
 
 void DispatchSimulation::Impl::Process::callServer(const std::function<Action(Server &, std::uint64_t call)> &execute,
-                                                   CallFailure failure, Duration timeout)
+                                                   CallFailure failure, Duration timeout, CallFate fate)
 {
     const std::uint64_t callerGeneration = generation;
     Server &server = *simulation.m_servers[index];
+    if (slowUntil > simulation.m_now) {
+        pausedUntil = std::max(pausedUntil, simulation.m_now) + simulation.m_settings.slowCallTime;
+    }
+    const std::size_t maxCalls = simulation.m_settings.maxConcurrentCalls;
+    if (maxCalls > 0 && outstandingCalls.size() >= maxCalls) {
+        simulation.scheduleAfter(Duration(0), inThisIncarnation(std::move(failure.notSent)));
+        return;
+    }
+    const Duration sentAfter = std::max(Duration(0), pausedUntil - simulation.m_now);
     if (server.refusesConnections) {
         simulation.scheduleAfter(simulation.randomDuration(MinRefusedConnectionDelay, MaxRefusedConnectionDelay),
                                  inThisIncarnation(std::move(failure.refused)));
@@ -515,28 +549,58 @@
         server.running.clear();
     }
     const std::uint64_t call = ++server.lastCall;
-    const Action onUnanswered = inThisIncarnation(std::move(failure.unanswered));
+    outstandingCalls.insert(call);
+    const Action onTimeout = std::move(failure.unanswered);
+    const Action onUnanswered = inThisIncarnation([this, call, onTimeout]() {
+        outstandingCalls.erase(call);
+        onTimeout();
+    });
     server.openCalls[call] = onUnanswered;
-    const bool delayed = simulation.randomFraction() < simulation.m_settings.faults.delayedCallRate;
+    const bool delayed = simulation.randomFraction() < simulation.m_settings.faults.delayedCallRate || fate == CallFate::Late;
     const bool responseLost = delayed || simulation.randomFraction() < simulation.m_settings.faults.lostResponseRate;
-    const Duration delay =
-        delayed ? simulation.randomDuration(seconds(2), seconds(12)) : simulation.randomDuration(Duration(200), Duration(700));
-    simulation.scheduleAfter(delay, [this, &server, delayed, startTimeMsAtCall, callerGeneration, execute, responseLost, call]() {
-        // A delayed request is queued in the server and is lost when the server restarts. A request that is not delayed may reach
-        // the next incarnation if the server restarts while the request is in transit.
-        if (!server.up || (delayed && server.startTimeMs != startTimeMsAtCall)) {
-            return;
-        }
-        Action response = execute(server, call);
-        if (!responseLost && response) {
+    Duration delay = simulation.m_settings.serverCallTime + sentAfter;
+    if (fate == CallFate::Late) {
+        delay += simulation.randomDuration(MinStopDelay, MaxStopDelay);
+    } else if (delayed) {
+        delay += simulation.randomDuration(seconds(2), seconds(12));
+    } else {
+        delay += simulation.randomDuration(Duration(200), Duration(700));
+    }
+    simulation.scheduleAfter(
+        delay, [this, &server, delayed, startTimeMsAtCall, callerGeneration, execute, responseLost, call, fate]() {
+            // A delayed request is queued in the server and is lost when the server restarts. A request that is not delayed may
+            // reach the next incarnation if the server restarts while the request is in transit.
+            if (!server.up || (delayed && server.startTimeMs != startTimeMsAtCall)) {
+                return;
+            }
+            if (fate == CallFate::Lost || (!delayed && server.cutUntil > simulation.m_now)) {
+                return;
+            }
+            Action response = execute(server, call);
+            if (!responseLost && response) {
+                server.openCalls.erase(call);
+                simulation.scheduleAfter(simulation.randomDuration(Duration(200), Duration(700)),
+                                         [this, callerGeneration, call, response = std::move(response)]() {
+                                             simulation.runInProcess(*this, callerGeneration, [this, call, response]() {
+                                                 outstandingCalls.erase(call);
+                                                 response();
+                                             });
+                                         });
+            }
+        });
+    if (!simulation.m_settings.agentFaults.empty()) {
+        // Any call may be cut off.
+        simulation.scheduleAfter(sentAfter + timeout, [&server, call, unanswered = inThisIncarnation([this, call, onTimeout]() {
+                                                                          if (outstandingCalls.erase(call) > 0) {
+                                                                              onTimeout();
+                                                                          }
+                                                                      })]() {
             server.openCalls.erase(call);
-            simulation.scheduleAfter(simulation.randomDuration(Duration(200), Duration(700)),
-                                     [this, callerGeneration, response = std::move(response)]() {
-                                         simulation.runInProcess(*this, callerGeneration, response);
-                                     });
-        }
-    });
-    if (responseLost || !server.up) {
+            if (call > server.lastBrokenCall) {
+                unanswered();
+            }
+        });
+    } else if (responseLost || !server.up) {
         simulation.scheduleAfter(timeout, [&server, call, onUnanswered]() {
             server.openCalls.erase(call);
             if (call > server.lastBrokenCall) {
@@ -668,8 +732,7 @@
                 || sim.randomFraction() < sim.m_settings.faults.failedRunRate;
             const std::uint64_t serial = ++server.serial;
             server.running[order.run.task] = Server::Run{order.run, taskCpuMilli, sim.m_now + runDuration, false, serial};
-            const TimePoint until = sim.m_now + milliseconds(std::min(order.notAfter.value() - clock, MaxLeaseMs));
-            server.leaseUntil = std::max(server.leaseUntil, until);
+            server.extendLease(sim.m_now, order.notAfter.value());
             if (sim.m_settings.log != nullptr) {
                 sim.m_log.write(LogLevel::Info, "RUN",
                                 toString(order.run.task) + " number=" + std::to_string(order.run.run.value())
@@ -706,6 +769,7 @@
         CallFailure{
             [this, ref]() { agent->onStartAnswered(simulation.m_now, ref, StartAnswer::Unknown, std::nullopt); },
             [this, ref]() { agent->onStartAnswered(simulation.m_now, ref, RefusedStartAnswer, std::nullopt); },
+            [this, ref]() { agent->onStartAnswered(simulation.m_now, ref, StartAnswer::NotSent, std::nullopt); },
         },
         milliseconds(200));
 }
@@ -715,6 +779,13 @@
     const Action onUnacknowledged = [this, order]() {
         agent->onStopAnswered(simulation.m_now, order.run, false, std::nullopt);
     };
+    const Server &target = *simulation.m_servers[index];
+    CallFate fate = CallFate::Normal;
+    if (target.stopsLostUntil > simulation.m_now) {
+        fate = CallFate::Lost;
+    } else if (target.stopsLateUntil > simulation.m_now) {
+        fate = CallFate::Late;
+    }
     callServer(
         [this, order](Server &server, std::uint64_t) -> Action {
             if (order.token.value() < server.highestToken) {
@@ -744,7 +815,7 @@
                 agent->onStopAnswered(simulation.m_now, order.run, true, time);
             };
         },
-        CallFailure{onUnacknowledged, onUnacknowledged}, milliseconds(200));
+        CallFailure{onUnacknowledged, onUnacknowledged, onUnacknowledged}, milliseconds(200), fate);
 }
 
 void DispatchSimulation::Impl::Process::poll(std::uint64_t number, const PollRequest &order)
@@ -760,8 +831,7 @@
             server.acceptToken(order.token);
             const std::int64_t clock = server.clockMs(simulation.m_now);
             if (order.leaseUntil && order.leaseUntil->value() > clock) {
-                const TimePoint until = simulation.m_now + milliseconds(std::min(order.leaseUntil->value() - clock, MaxLeaseMs));
-                server.leaseUntil = std::max(server.leaseUntil, until);
+                server.extendLease(simulation.m_now, order.leaseUntil->value());
             }
             server.ended.erase(std::remove_if(server.ended.begin(), server.ended.end(),
                                               [&order](const FinishedRun &end) { return end.number <= order.acknowledgedEnd; }),
@@ -784,13 +854,14 @@
             const std::shared_ptr<bool> answered = std::make_shared<bool>(false);
             const auto reply = [this, number, answered, inventory, callerGeneration, startTimeMsAtCall = server.startTimeMs, call,
                                 &server]() {
-                if (*answered || !server.up || server.startTimeMs != startTimeMsAtCall) {
+                if (*answered || !server.up || server.startTimeMs != startTimeMsAtCall || server.cutUntil > simulation.m_now) {
                     return;
                 }
                 *answered = true;
                 server.openCalls.erase(call);
-                simulation.scheduleAfter(Duration(400), [this, number, callerGeneration, result = inventory()]() {
-                    simulation.runInProcess(*this, callerGeneration, [this, number, result]() {
+                simulation.scheduleAfter(Duration(400), [this, number, callerGeneration, call, result = inventory()]() {
+                    simulation.runInProcess(*this, callerGeneration, [this, number, call, result]() {
+                        outstandingCalls.erase(call);
                         agent->onPollAnswered(simulation.m_now, number, result, PollFailure::None);
                     });
                 });
@@ -802,6 +873,7 @@
         CallFailure{
             [this, number]() { agent->onPollAnswered(simulation.m_now, number, std::nullopt, PollFailure::Unknown); },
             [this, number]() { agent->onPollAnswered(simulation.m_now, number, std::nullopt, RefusedPollFailure); },
+            [this, number]() { agent->onPollAnswered(simulation.m_now, number, std::nullopt, PollFailure::NotSent); },
         },
         order.maxWait + milliseconds(200));
 }
@@ -895,6 +967,7 @@
     Process &process = *m_agents[index];
     process.up = true;
     ++process.generation;
+    process.outstandingCalls.clear();
     AgentSettings settings;
     settings.self = ProcessId{process.endpoint, Incarnation(static_cast<std::uint64_t>(m_now.time_since_epoch().count()))};
     settings.domain = "d" + std::to_string(index % 3);
@@ -927,7 +1000,7 @@
 {
     Server &server = *m_servers[index];
     Process &process = *m_agents[index];
-    if (server.up && process.up) {
+    if (server.up && process.up && server.cutUntil <= m_now) {
         ServerAnnouncement announcement;
         announcement.incarnation = ServerIncarnation{"server-" + std::to_string(index), server.startTimeMs};
         announcement.service = "svc";
@@ -956,7 +1029,9 @@
         --client.second->openSubmissions;
         client.second->allAnswersNotRun = false;
         if (!client.second->finished) {
-            resubmitAfter(isUnread(client.first) ? MinFailoverDelay : ResubmitDelay, client.second);
+            const bool delayed = m_settings.maxResubmitDelay > Duration(0);
+            const Duration delay = delayed ? randomDuration(Duration(0), m_settings.maxResubmitDelay) : Duration(0);
+            resubmitAfter(isUnread(client.first) ? MinFailoverDelay : ResubmitDelay + delay, client.second);
         }
     }
     process.clients.clear();
@@ -1000,6 +1075,50 @@
     }
 }
 
+void DispatchSimulation::Impl::scheduleFaults()
+{
+    for (const ScheduledEntryKill &kill : m_settings.entryKills) {
+        scheduleAfter(Duration(static_cast<std::int64_t>(kill.second * 1e6)),
+                      [this, kill]() { killEntry(kill.entry, kill.downtime); });
+    }
+    for (const ScheduledAgentFault &fault : m_settings.agentFaults) {
+        scheduleAfter(Duration(static_cast<std::int64_t>(fault.second * 1e6)), [this, fault]() { injectAgentFault(fault); });
+    }
+}
+
+void DispatchSimulation::Impl::injectAgentFault(const ScheduledAgentFault &fault)
+{
+    static constexpr const char *FaultNames[] = {"kill", "pause", "cut-from-server", "slowdown", "lost-stops", "late-stops"};
+    Process &process = *m_agents.at(fault.agent);
+    Server &server = *m_servers.at(fault.agent);
+    m_log.write(LogLevel::Info, "FAULT",
+                std::string(FaultNames[static_cast<std::size_t>(fault.kind)]) + " " + toString(process.endpoint)
+                    + " for_ms=" + std::to_string(std::chrono::duration_cast<milliseconds>(fault.length).count()));
+    const TimePoint until = m_now + fault.length;
+    switch (fault.kind) {
+    case ScheduledAgentFault::Kind::Kill:
+        if (process.up) {
+            killProcess(false, fault.agent, fault.length);
+        }
+        break;
+    case ScheduledAgentFault::Kind::Pause:
+        process.pausedUntil = std::max(process.pausedUntil, until);
+        break;
+    case ScheduledAgentFault::Kind::Cut:
+        server.cutUntil = std::max(server.cutUntil, until);
+        break;
+    case ScheduledAgentFault::Kind::Slowdown:
+        process.slowUntil = std::max(process.slowUntil, until);
+        break;
+    case ScheduledAgentFault::Kind::LostStops:
+        server.stopsLostUntil = std::max(server.stopsLostUntil, until);
+        break;
+    case ScheduledAgentFault::Kind::LateStops:
+        server.stopsLateUntil = std::max(server.stopsLateUntil, until);
+        break;
+    }
+}
+
 void DispatchSimulation::Impl::changeCapacity(Server &server, std::int64_t cpuMilli)
 {
     server.formerCpuMilli[m_now + AnnouncementInterval + CapacityNotice] = server.cpuMilli;
@@ -1353,6 +1472,7 @@
         m_servers.back()->index = i;
         m_servers.back()->cpuMilli = serverCpuMilli(i);
         m_servers.back()->startedAt = m_now;
+        m_servers.back()->clockRate = m_settings.serverClockRate;
         m_servers.back()->startTimeMs = 1000 + static_cast<std::int64_t>(i);
     }
     if (m_settings.coordinationFaults) {
@@ -1378,6 +1498,7 @@
         scheduleAfter(randomDuration(Duration(0), milliseconds(200)), [this, i]() { announce(i); });
     }
     scheduleServerCrashes();
+    scheduleFaults();
     const TimePoint loadStart = m_now + seconds(1);
     scheduleAt(loadStart, [this]() { submitNextJob(); });
     if (m_settings.faults.processFaults) {
@@ -1401,6 +1522,7 @@
                     for (const std::pair<const TaskRef, Server::Run> &run : server->running) {
                         server->ended.push_back(FinishedRun{++server->lastEndNumber, run.second.ref, RunEnd::Lapsed});
                         ++m_result.finishedRuns;
+                        ++m_result.lapsedRuns;
                     }
                     server->running.clear();
                 }
--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -53,6 +53,32 @@
     std::size_t server = 0;
 };
 
+/// A time at which an entry is killed.
+struct ScheduledEntryKill
+{
+    double second = 0; ///< Since the start.
+    std::size_t entry = 0;
+    Duration downtime{0}; ///< Time until it starts again.
+};
+
+/// A fault of one agent, or of the calls to its backend server, at a set time. The server itself keeps running.
+struct ScheduledAgentFault
+{
+    enum class Kind : std::uint8_t {
+        Kill, ///< The agent ends, and starts again afterwards.
+        Pause, ///< The agent stands still.
+        Cut, ///< Calls to the server and their responses are lost, and so are its announcements.
+        Slowdown, ///< Each call takes slowCallTime of the agent's processor time.
+        LostStops, ///< Stop calls are not carried out, and time out. All other calls are answered.
+        LateStops, ///< Stop calls time out, and are carried out 0.7 to 3 s after they were sent.
+    };
+
+    Kind kind = Kind::Pause;
+    double second = 0; ///< Since the start.
+    std::size_t agent = 0;
+    Duration length{0};
+};
+
 /// Size, load and faults of a simulation.
 struct SimulationSettings
 {
@@ -85,6 +111,15 @@
     /// These servers crash like those that start a deadly task: their connections close, they refuse new ones, and they restart
     /// after 3.0 to 3.4 s.
     std::vector<ScheduledCrash> serverCrashes;
+    std::vector<ScheduledEntryKill> entryKills;
+    std::vector<ScheduledAgentFault> agentFaults;
+    /// Clients whose entry is killed submit their jobs again up to this much later than 1.3 s afterwards.
+    Duration maxResubmitDelay{0};
+    /// Calls of an agent to its server that may be outstanding at a time; further ones are not sent. 0 for no limit.
+    std::size_t maxConcurrentCalls = 0;
+    Duration serverCallTime{0}; ///< Time that a server takes for each call, in addition to the delay of the network.
+    Duration slowCallTime{0}; ///< Processor time that an agent takes for each call, whether it is sent or not, while it is slow.
+    double serverClockRate = 1.0; ///< Rate of the clocks of the servers, which also measure their leases.
     /// Time since the start. The first deadly task that crashes a server after it has its coordinator killed within a second.
     std::optional<Duration> coordinatorKilledAfter;
     std::ostream *log = nullptr; ///< Receives the log of all processes; null discards it.
@@ -126,6 +161,7 @@
     Duration longestJob{0}; ///< Longest time from the first submission to the success of a job.
     std::vector<std::string> violations; ///< Violated invariants, with time and task.
     std::uint64_t stoppedRuns = 0;
+    std::uint64_t lapsedRuns = 0; ///< Runs that ended because the lease expired.
     double usedMilliCoreSeconds = 0; ///< CPU demand times full run time, over all runs that completed or failed.
     std::map<std::size_t, std::uint64_t> startsByServer;
     std::map<std::string, JobKindResult> kinds; ///< By queue.
