--- a/tests/agent_dispatch_tests.cpp
+++ b/tests/agent_dispatch_tests.cpp
@@ -766,3 +766,30 @@
     REQUIRE(fixture.agent.ledger().booked() == 0);
     REQUIRE(earliest.notAfter < latest.notAfter);
 }
+
+TEST_CASE("A repeated order does not start a run that was refused, however many others the agent has refused since")
+{
+    // Load pattern: jobs of 2,000 tasks come faster than the agent can queue them. The entry repeats an order after 0.1 s or more
+    // if it has not heard the refusal, which is in one of many reports; it then goes on with another run of the task.
+    const std::uint32_t refusedSince = GENERATE(0U, 2000U, 6000U);
+    AgentFixture fixture;
+    fixture.tickFor(milliseconds(300));
+    StartOrder order = fixture.makeOrder("00000000000000e1", milliseconds(400), milliseconds(90), 1);
+    order.need = Resources{14000, 10, 0};
+    StartOrder repeated = order;
+    fixture.receiveFromEntry(std::move(order));
+    for (std::uint32_t refused = 0; refused < refusedSince; refused += 1000) {
+        StartOrder others = fixture.makeOrder("00000000000000e2", milliseconds(400), milliseconds(90), 0);
+        others.need = Resources{14000, 10, 0};
+        for (std::uint32_t i = 0; i < 1000; ++i) {
+            others.runs.push_back(OrderedRun{i, RunNumber(refused / 1000 + 1)});
+        }
+        fixture.receiveFromEntry(std::move(others));
+    }
+    fixture.tickFor(milliseconds(150));
+    fixture.announce(Resources{24000, 1000, 0}); // Now there would be room.
+    fixture.receiveFromEntry(std::move(repeated));
+    fixture.tickFor(milliseconds(15));
+    INFO("refused since: " << refusedSince);
+    CHECK(fixture.server.starts.empty());
+}
