Refused runs are remembered for as long as an order may be repeated

Cause: an agent keeps at most 4,096 ended runs. It refused a run, then more than 4,096 others within 0.16 s, and then took the repeated order of the first one for a new run. Its entry, which read the refusal later, counted that run as over and placed the task elsewhere.

Evidence: the case of agent_dispatch_tests with 6,000 refusals failed before and passes.

--- a/src/core/dispatch/agent_dispatch.cpp
+++ b/src/core/dispatch/agent_dispatch.cpp
@@ -13,7 +13,8 @@
 /// Ended runs are kept for longer than a start order can be retransmitted, so that a retransmitted one does not start a run
 /// again.
 constexpr Duration EndedRunRetention = seconds(5);
-constexpr std::size_t MaxEndedRuns = 4096;
+/// Bounds their memory to about 16 MB. A full queue of wide jobs makes an agent refuse some 25,000 runs a second.
+constexpr std::size_t MaxEndedRuns = 65536;
 
 } // namespace
 
