Cancelled jobs are known to an entry that restarts

Cause: cancelled ids are kept in memory, and only the entry that had taken the DELETE sent them to entries that started later. The others had the same ids and told nobody; when that entry itself restarted, nobody told it. Two new tests of three entries that exchange their messages fail without the change: six variants of "A cancelled job is not started by the entry that acknowledged its cancellation and has restarted since" order 7 or 13 starts of it, and "Cancelled ids outlast restarts of all entries in turn" fails at the first restarted entry. Change: the heartbeat of an entry asks each other entry for its cancelled jobs until it has them: after its start, and when the other one was silent for 3 s. Every entry answers in its next heartbeat with all ids that it knows and their ages, so that the retention of 30 s counts from the request. For 5 s after its start an entry admits no job while an entry that it hears and that shares such lists has not answered. Entries of former versions are not waited for. At most 20,000 ids are kept, which is one message of about 0.5 MB.

--- a/src/adapters/dispatch_codec.cpp
+++ b/src/adapters/dispatch_codec.cpp
@@ -146,6 +146,16 @@
         }
         report->set_uptime_us(from.uptime.count());
         report->set_confirmed_list_us(from.confirmedList.time_since_epoch().count());
+        report->set_names_cancelled_jobs(from.cancelledJobs.has_value());
+        if (from.cancelledJobs) {
+            for (const CancelledJob &cancelled : *from.cancelledJobs) {
+                wire::CancelledJob *added = report->add_cancelled_jobs();
+                added->set_job(std::string(cancelled.job.text()));
+                added->set_age_us(cancelled.age.count());
+            }
+        }
+        report->set_wants_cancelled_jobs(from.wantsCancelledJobs);
+        report->set_shares_cancelled_jobs(from.sharesCancelledJobs);
     }
 
     void operator()(const JoinJob &from) const
@@ -334,6 +344,14 @@
         }
         report.uptime = Duration(from.entry().uptime_us());
         report.confirmedList = TimePoint(Duration(from.entry().confirmed_list_us()));
+        if (from.entry().names_cancelled_jobs()) {
+            report.cancelledJobs.emplace();
+            for (const wire::CancelledJob &cancelled : from.entry().cancelled_jobs()) {
+                report.cancelledJobs->push_back(CancelledJob{decodeJobId(cancelled.job()), Duration(cancelled.age_us())});
+            }
+        }
+        report.wantsCancelledJobs = from.entry().wants_cancelled_jobs();
+        report.sharesCancelledJobs = from.entry().shares_cancelled_jobs();
         return report;
     }
     case wire::Envelope::kJoin:
--- a/src/core/dispatch/entry_cancellation.cpp
+++ b/src/core/dispatch/entry_cancellation.cpp
@@ -34,15 +34,50 @@
     answerCancellation(now, cancellation);
 }
 
-bool EntryDispatch::recordCancelledJob(TimePoint now, const JobId &id)
+bool EntryDispatch::recordCancelledJob(TimePoint requestedAt, const JobId &id)
 {
     if (m_cancelledJobs.size() >= m_settings.timing.maxEndedJobs && m_cancelledJobs.count(id) == 0) {
         return false;
     }
-    m_cancelledJobs[id] = now;
+    TimePoint &recorded = m_cancelledJobs[id];
+    recorded = std::max(recorded, requestedAt);
     return true;
 }
 
+std::vector<CancelledJob> EntryDispatch::cancelledJobs(TimePoint now) const
+{
+    std::vector<CancelledJob> jobs;
+    jobs.reserve(m_cancelledJobs.size());
+    for (const std::pair<const JobId, TimePoint> &cancelled : m_cancelledJobs) {
+        jobs.push_back(CancelledJob{cancelled.first, now - cancelled.second});
+    }
+    return jobs;
+}
+
+void EntryDispatch::receiveCancelledJobs(TimePoint now, const EntryReport &report, EntryPeer &entry)
+{
+    entry.sharesCancelledJobs = report.sharesCancelledJobs;
+    entry.cancelledJobsRequested = entry.cancelledJobsRequested || report.wantsCancelledJobs;
+    if (!report.cancelledJobs) {
+        return;
+    }
+    entry.cancelledJobsReceived = true;
+    for (const CancelledJob &cancelled : *report.cancelledJobs) {
+        // The retention counts from the request, so that ids are not handed from entry to entry for ever.
+        if (cancelled.age >= Duration(0) && cancelled.age <= m_settings.timing.endedJobRetention
+            && recordCancelledJob(now - cancelled.age, cancelled.job)) {
+            cancelHere(now, cancelled.job);
+        }
+    }
+}
+
+bool EntryDispatch::mayLackCancelledJobs(TimePoint now, const EntryPeer &entry) const
+{
+    return entry.sharesCancelledJobs && !entry.cancelledJobsReceived
+        && entry.session.silence(now) < m_coordination.activeJobsTimeout(entry.lists)
+        && now - m_startedAt < m_settings.timing.cancelledJobsTimeout;
+}
+
 void EntryDispatch::handleCancel(TimePoint now, const Endpoint &from, EntryPeer &entry, const JobId &id)
 {
     // Without a record of it, the job could still start here, so its cancellation is not confirmed.
--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -148,7 +148,7 @@
 bool EntryDispatch::mayAdmit(TimePoint now) const
 {
     return std::all_of(m_entries.begin(), m_entries.end(), [&](const std::pair<const Endpoint, EntryPeer> &entry) {
-        return m_coordination.mayAdmit(now, entry.second.lists);
+        return m_coordination.mayAdmit(now, entry.second.lists) && !mayLackCancelledJobs(now, entry.second);
     });
 }
 
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -59,6 +59,13 @@
     /// An entry that is silent for longer is not waited for before a cancellation is acknowledged. By then its runs have been
     /// stopped, unless it is in touch with the agents and only not with this entry.
     Duration cancellationSilenceTimeout = seconds(3);
+    /// An entry that has been running for less than this admits no job while another entry that it hears has not handed over its
+    /// cancelled jobs. Several retransmissions of a list of maxEndedJobs ids fit into it, and an entry that the other ones don't
+    /// hear serves after it.
+    Duration cancelledJobsTimeout = seconds(5);
+    /// Minimum interval between two such lists to the same incarnation of an entry: the largest may take longer to arrive than
+    /// the interval of the heartbeats that ask for it.
+    Duration cancelledJobsInterval = milliseconds(500);
     std::size_t maxJobs = 4096;
     std::size_t maxEndedJobs = 20000;
 };
@@ -171,7 +178,7 @@
     bool shouldRefuseUnread(TimePoint now, const JobId &id);
 
     /// Whether this entry may coordinate a job that no other entry lists. False for a short time after a start, a pause or a loss
-    /// of contact.
+    /// of contact, and until the other entries have handed over their cancelled jobs after a start.
     bool mayAdmit(TimePoint now) const;
 
     CpuOverloadDetector &cpuOverloadDetector() noexcept
@@ -223,6 +230,10 @@
         bool fromSettings = false; ///< Configured entries never expire.
         TimePoint heartbeatSentAt; ///< Tracked apart from other messages, as only heartbeats list the active jobs.
         ListExchange lists;
+        bool sharesCancelledJobs = false; ///< See EntryReport.
+        bool cancelledJobsReceived = false; ///< By this entry, since its start or since the other one was last silent.
+        bool cancelledJobsRequested = false; ///< By the other entry.
+        TimePoint cancelledJobsSentAt; ///< To its present incarnation; zero if not yet.
     };
 
     /// A job that another entry coordinates and that clients of this entry wait for.
@@ -288,7 +299,12 @@
                        const std::shared_ptr<const QueueRule> &queue, const JobId &id,
                        const std::shared_ptr<const JobSpec> &spec);
     /// Records that a job must not start here; false if there are too many such records.
-    bool recordCancelledJob(TimePoint now, const JobId &id);
+    bool recordCancelledJob(TimePoint requestedAt, const JobId &id);
+    /// The cancelled jobs for an entry that asks for them, which may be the only ones that it gets.
+    std::vector<CancelledJob> cancelledJobs(TimePoint now) const;
+    void receiveCancelledJobs(TimePoint now, const EntryReport &report, EntryPeer &entry);
+    /// Whether this entry has just started and the other one may know of cancelled jobs that it doesn't know.
+    bool mayLackCancelledJobs(TimePoint now, const EntryPeer &entry) const;
     void handleCancel(TimePoint now, const Endpoint &from, EntryPeer &entry, const JobId &id);
     /// Cancels a job if this entry coordinates it. Returns whether the job is known here.
     bool cancelHere(TimePoint now, const JobId &id);
--- a/src/core/dispatch/entry_peers.cpp
+++ b/src/core/dispatch/entry_peers.cpp
@@ -135,13 +135,19 @@
         // The new incarnation admits no job until it has heard the other entries, so it gets a list at the next tick.
         entry.heartbeatSentAt = TimePoint();
         entry.entryList = EntryListState();
+        entry.cancelledJobsSentAt = TimePoint();
         if (wasKnown) {
             ++m_counters.connectionsReplaced;
             m_links.replaceConnection(from);
         }
     }
+    if (now - lastHeardAt > m_settings.timing.cancellationSilenceTimeout) {
+        // Others may have acknowledged cancellations without this entry, and have restarted since.
+        entry.cancelledJobsReceived = false;
+    }
     if (const EntryReport *report = std::get_if<EntryReport>(&envelope.message)) {
         receiveActiveJobs(now, envelope, *report, entry);
+        receiveCancelledJobs(now, *report, entry);
         entry.domain = report->domain;
         for (const EntryAddress &known : report->entries) {
             addEntries(now, {known.endpoint});
@@ -322,6 +328,13 @@
             heartbeat.activeJobs = jobs;
             heartbeat.confirmedList = entry.lists.sentAt;
             heartbeat.uptime = now - m_startedAt;
+            heartbeat.sharesCancelledJobs = true;
+            heartbeat.wantsCancelledJobs = !entry.cancelledJobsReceived;
+            if (entry.cancelledJobsRequested && now - entry.cancelledJobsSentAt >= m_settings.timing.cancelledJobsInterval) {
+                entry.cancelledJobsRequested = false;
+                entry.cancelledJobsSentAt = now;
+                heartbeat.cancelledJobs = cancelledJobs(now);
+            }
             sendToEntry(now, it->first, entry, std::move(heartbeat));
         }
         ++it;
--- a/src/core/dispatch/messages.h
+++ b/src/core/dispatch/messages.h
@@ -101,6 +101,13 @@
     std::optional<std::vector<Endpoint>> liveEntries;
 };
 
+/// A job that must not start any more because a client has cancelled it.
+struct CancelledJob
+{
+    JobId job;
+    Duration age{0}; ///< Time since the cancellation was requested.
+};
+
 /// Heartbeat of an entry, sent to agents and to other entries.
 struct EntryReport
 {
@@ -110,6 +117,10 @@
     /// Sending time, on the receiver's clock, of the latest such list of the receiver that the sender has received; zero if none.
     TimePoint confirmedList;
     Duration uptime{0}; ///< How long the sender has been running.
+    /// All cancelled jobs that the sender knows, as the receiver has asked for them; absent in most heartbeats.
+    std::optional<std::vector<CancelledJob>> cancelledJobs;
+    bool wantsCancelledJobs = false; ///< The sender has not received this list from the receiver yet.
+    bool sharesCancelledJobs = false; ///< The sender answers such requests; false for an entry of a version that doesn't.
 };
 
 /// Request of an entry to the entry that coordinates a job: asks for the state of the job now, and again when the job ends.
--- a/tests/dispatch_codec_tests.cpp
+++ b/tests/dispatch_codec_tests.cpp
@@ -88,6 +88,31 @@
     REQUIRE(std::get<EntryReport>(decode(encode(envelope))->message).activeJobs == report.activeJobs);
 }
 
+TEST_CASE("Cancelled jobs are transmitted with their ages, and an empty list differs from none")
+{
+    Envelope envelope = sampleReport();
+    EntryReport report;
+    envelope.message = report;
+    REQUIRE_FALSE(std::get<EntryReport>(decode(encode(envelope))->message).cancelledJobs);
+    report.cancelledJobs.emplace();
+    report.wantsCancelledJobs = true;
+    envelope.message = report;
+    REQUIRE(std::get<EntryReport>(decode(encode(envelope))->message).cancelledJobs->empty());
+    REQUIRE(std::get<EntryReport>(decode(encode(envelope))->message).wantsCancelledJobs);
+    REQUIRE_FALSE(std::get<EntryReport>(decode(encode(envelope))->message).sharesCancelledJobs);
+    const JobId job = *JobId::parse("0123456789ABcdef");
+    report.cancelledJobs->push_back(CancelledJob{job, milliseconds(1500)});
+    report.wantsCancelledJobs = false;
+    report.sharesCancelledJobs = true;
+    envelope.message = report;
+    const EntryReport decoded = std::get<EntryReport>(decode(encode(envelope))->message);
+    REQUIRE(decoded.cancelledJobs->size() == 1);
+    REQUIRE(decoded.cancelledJobs->front().job == job);
+    REQUIRE(decoded.cancelledJobs->front().age == milliseconds(1500));
+    REQUIRE_FALSE(decoded.wantsCancelledJobs);
+    REQUIRE(decoded.sharesCancelledJobs);
+}
+
 TEST_CASE("Confirmations of lists, names of live entries and the times of an order are transmitted")
 {
     Envelope envelope = sampleReport();
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -183,6 +183,188 @@
     EntryDispatch entry;
 };
 
+/// Three entries that exchange their messages in virtual time, and one agent that reports to all of them.
+class EntryGroup
+{
+public:
+    static constexpr std::size_t Entries = 3;
+
+    /// `listed` is the number of entries, the first ones, whose addresses are in the settings of all.
+    explicit EntryGroup(std::size_t listed = Entries)
+        : m_listed(listed)
+    {
+        std::shared_ptr<QueueRule> rule = std::make_shared<QueueRule>();
+        rule->name = "q";
+        rule->service = "svc";
+        rule->workFactor = 1.6;
+        rule->latencyObjective = milliseconds(60);
+        rule->maxAttempts = 4;
+        m_queue = rule;
+        for (std::size_t i = 0; i < Entries; ++i) {
+            m_nodes.push_back(std::make_unique<Node>(*this, i));
+            start(i);
+        }
+        runFor(seconds(4));
+    }
+
+    /// Ends an entry without notice and starts it as a new incarnation.
+    void start(std::size_t i)
+    {
+        EntrySettings settings;
+        settings.self = ProcessId{endpoint(i), Incarnation(++m_lastIncarnation)};
+        settings.domain = "d" + std::to_string(i);
+        for (std::size_t other = 0; other < m_listed; ++other) {
+            settings.entries.push_back(endpoint(other));
+        }
+        Node &node = *m_nodes[i];
+        node.dispatch = std::make_unique<EntryDispatch>(settings, node, node, m_log, m_now);
+    }
+
+    /// Ends an entry for good.
+    void remove(std::size_t i)
+    {
+        m_nodes[i]->dispatch.reset();
+    }
+
+    /// Cuts an entry off from all other processes, or connects it again.
+    void cutOff(std::size_t i, bool cut)
+    {
+        m_nodes[i]->cut = cut;
+    }
+
+    /// Cuts an entry off from the other entries only, or connects it again.
+    void cutOffFromEntries(std::size_t i, bool cut)
+    {
+        m_nodes[i]->cutFromEntries = cut;
+    }
+
+    void runFor(Duration length)
+    {
+        const TimePoint end = m_now + length;
+        while (m_now < end) {
+            m_now += milliseconds(15);
+            std::vector<Sent> arriving;
+            arriving.swap(m_sent);
+            for (const Sent &message : arriving) {
+                deliver(message);
+            }
+            for (std::size_t i = 0; i < Entries; ++i) {
+                if (m_nodes[i]->dispatch) {
+                    reportTo(i);
+                    m_nodes[i]->dispatch->onTick(m_now);
+                }
+            }
+        }
+    }
+
+    void cancel(std::size_t i, Duration timeout = milliseconds(1500))
+    {
+        m_nodes[i]->dispatch->cancel(m_now, Job1, timeout, [this](CancelOutcome outcome) { outcomes.push_back(outcome); });
+    }
+
+    void submit(std::size_t i, std::uint64_t client)
+    {
+        m_nodes[i]->dispatch->submit(m_now, ClientTag(client), m_queue, Job1, EntryFixture::makeSpec(milliseconds(50)),
+                                     seconds(2));
+    }
+
+    bool mayAdmit(std::size_t i) const
+    {
+        return m_nodes[i]->dispatch->mayAdmit(m_now);
+    }
+
+    std::vector<CancelOutcome> outcomes;
+    std::map<std::uint64_t, JobOutcome> answers;
+    std::size_t startOrders = 0;
+
+private:
+    struct Sent
+    {
+        std::size_t from;
+        Endpoint to;
+        dispatch::Envelope envelope;
+    };
+
+    struct Node : LinkPort, ClientPort
+    {
+        Node(EntryGroup &owner, std::size_t number)
+            : group(owner)
+            , index(number)
+        { }
+
+        void send(const Endpoint &to, const dispatch::Envelope &envelope) override
+        {
+            group.m_sent.push_back(Sent{index, to, envelope});
+        }
+
+        void replaceConnection(const Endpoint &) override { }
+        void forgetConnection(const Endpoint &) override { }
+
+        void answer(ClientTag client, JobOutcome outcome, const char *, Duration) override
+        {
+            group.answers[client.value()] = outcome;
+        }
+
+        EntryGroup &group;
+        std::size_t index;
+        std::unique_ptr<EntryDispatch> dispatch;
+        bool cut = false;
+        bool cutFromEntries = false;
+    };
+
+    static Endpoint endpoint(std::size_t i)
+    {
+        return Endpoint{static_cast<std::uint32_t>(i + 1), 7000};
+    }
+
+    void deliver(const Sent &message)
+    {
+        const Node &from = *m_nodes[message.from];
+        if (message.to == Agent.endpoint) {
+            startOrders += !from.cut && std::holds_alternative<StartOrder>(message.envelope.message) ? 1 : 0;
+            return;
+        }
+        Node &to = *m_nodes[message.to.ip - 1];
+        if (to.dispatch && !from.cut && !to.cut && !from.cutFromEntries && !to.cutFromEntries) {
+            to.dispatch->onMessage(m_now, message.envelope);
+        }
+    }
+
+    /// Sends a report of the agent. It names the entries that run and reach the agent.
+    void reportTo(std::size_t i)
+    {
+        if (m_nodes[i]->cut) {
+            return;
+        }
+        AgentReport report;
+        report.service = "svc";
+        report.domain = "d0";
+        report.load.accepting = true;
+        report.load.capacity = Resources{16000, 64000, 0};
+        report.load.free = Resources{16000, 64000, 0};
+        report.liveEntries.emplace();
+        for (std::size_t other = 0; other < Entries; ++other) {
+            if (m_nodes[other]->dispatch && !m_nodes[other]->cut) {
+                report.liveEntries->push_back(endpoint(other));
+            }
+        }
+        dispatch::Envelope envelope;
+        envelope.from = Agent;
+        envelope.sentAt = m_now;
+        envelope.echoOf = m_now;
+        envelope.message = std::move(report);
+        m_nodes[i]->dispatch->onMessage(m_now, envelope);
+    }
+
+    TimePoint m_now{seconds(100)};
+    std::size_t m_listed;
+    DiscardingLog m_log;
+    std::shared_ptr<const QueueRule> m_queue;
+    std::vector<std::unique_ptr<Node>> m_nodes;
+    std::vector<Sent> m_sent;
+    std::uint64_t m_lastIncarnation = 0;
+};
+
 } // namespace
 
 TEST_CASE("Entries that wait for a job learn that it was given up only once its runs have stopped")
@@ -813,3 +995,43 @@
     fixture.runFor(EntryFixture::settings().timing.coordination.admissionHold);
     REQUIRE(fixture.entry.mayAdmit(fixture.now));
 }
+
+TEST_CASE("A cancelled job is not started by the entry that acknowledged its cancellation and has restarted since")
+{
+    const bool cancelledAtOther = GENERATE(false, true);
+    const Duration wait = GENERATE(Duration(milliseconds(30)), Duration(milliseconds(300)), Duration(seconds(3)));
+    EntryGroup group;
+    group.cancel(cancelledAtOther ? 0 : 1);
+    group.runFor(milliseconds(100));
+    REQUIRE(group.outcomes == std::vector<CancelOutcome>{CancelOutcome::UnknownJob});
+    group.start(1);
+    if (cancelledAtOther) {
+        // The only entry that sends the cancellation to others by itself ends as well.
+        group.remove(0);
+    }
+    group.runFor(wait);
+    group.submit(1, 1);
+    group.runFor(seconds(3));
+    group.submit(1, 2);
+    group.runFor(seconds(1));
+    REQUIRE(group.startOrders == 0);
+    REQUIRE(group.answers.at(2) == JobOutcome::Cancelled);
+    REQUIRE(group.mayAdmit(1));
+}
+
+TEST_CASE("Cancelled ids outlast restarts of all entries in turn, and are forgotten after their retention")
+{
+    EntryGroup group;
+    group.cancel(0);
+    group.runFor(seconds(1));
+    for (std::size_t i = 0; i < EntryGroup::Entries; ++i) {
+        group.start(i);
+        group.runFor(seconds(6));
+        group.submit(i, i);
+        REQUIRE(group.answers.at(i) == JobOutcome::Cancelled);
+    }
+    group.runFor(seconds(12));
+    group.submit(0, 9);
+    group.runFor(seconds(1));
+    REQUIRE(group.startOrders >= 1);
+}
