A cancellation is acknowledged only while the silence of others shows that they have failed

Seen: an entry that was cut off from all other processes answered a DELETE with 410 within milliseconds. Cause: an entry did not wait for the confirmation of entries that it had not heard for 3 s. One that hears nobody waited for nobody, and one that had lost only the other entries did not heed the agents that named these as alive. After 10 s it forgot the others that are not in its settings, and took itself for the only one. Change: another entry that has not confirmed is left out only if it has been silent for 3 s, agents don't name it as alive, and this entry hears an agent. Otherwise the client gets 504 at its deadline. Others are not forgotten while they may run jobs by the same rule. An entry that is gone for good blocks no acknowledgement after 3 s, as agents stop naming it, and the only entry acknowledges at once; both have a test. What stays: an entry that hears no agent, and knows of an entry that is gone, acknowledges no cancellation until an agent is back. Two groups of entries and agents that lose each other are not told apart (docs/incidents/concurrent-runs-of-a-task.md). An entry that starts while it is cut off and that no settings or store tell of others takes itself for the only one.

--- a/src/core/dispatch/entry_cancellation.cpp
+++ b/src/core/dispatch/entry_cancellation.cpp
@@ -145,13 +145,26 @@
     }
 }
 
+bool EntryDispatch::mayRunJobs(TimePoint now, const EntryPeer &entry) const
+{
+    return entry.session.silence(now) < m_settings.timing.cancellationSilenceTimeout || m_coordination.isAlive(entry.lists)
+        || !hearsAgent(now);
+}
+
+bool EntryDispatch::hearsAgent(TimePoint now) const
+{
+    return std::any_of(m_fleet.agents().begin(), m_fleet.agents().end(), [&](const FleetView::Agents::value_type &agent) {
+        return agent.second.session.silence(now) < m_settings.timing.agentTimeout;
+    });
+}
+
 void EntryDispatch::answerCancellation(TimePoint now, Cancellation &cancellation)
 {
     const bool awaited = std::any_of(m_entries.begin(), m_entries.end(), [&](const std::pair<const Endpoint, EntryPeer> &entry) {
         const std::map<Endpoint, Cancellation::Recipient>::const_iterator it = cancellation.recipients.find(entry.first);
         const bool confirmed = it != cancellation.recipients.end() && it->second.confirmed
             && it->second.incarnation == entry.second.session.incarnation();
-        return !confirmed && entry.second.session.silence(now) < m_settings.timing.cancellationSilenceTimeout;
+        return !confirmed && mayRunJobs(now, entry.second);
     });
     const CancelOutcome outcome =
         awaited ? CancelOutcome::Unconfirmed : (cancellation.known ? CancelOutcome::Cancelled : CancelOutcome::UnknownJob);
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -56,8 +56,8 @@
     /// first one suffices.
     Duration replicaStagger = milliseconds(150);
     Duration retryAfter = seconds(1); ///< Minimum retry delay for refused clients; a burst lasts for seconds.
-    /// An entry that is silent for longer is not waited for before a cancellation is acknowledged. By then its runs have been
-    /// stopped, unless it is in touch with the agents and only not with this entry.
+    /// An entry that is silent for longer is not waited for before a cancellation is acknowledged, if the agents show that it has
+    /// failed: see mayRunJobs(). By then its runs have been stopped.
     Duration cancellationSilenceTimeout = seconds(3);
     /// An entry that has been running for less than this admits no job while another entry that it hears has not handed over its
     /// cancelled jobs. Several retransmissions of a list of maxEndedJobs ids fit into it, and an entry that the other ones don't
@@ -310,6 +310,11 @@
     bool cancelHere(TimePoint now, const JobId &id);
     /// Sends a cancellation to the entries that have not confirmed it.
     void spreadCancellation(TimePoint now, const JobId &id, Cancellation &cancellation);
+    /// Whether another entry may still run jobs. The silence of an entry shows that it has failed only if this entry is not cut
+    /// off itself, and agents don't name the other one as alive.
+    bool mayRunJobs(TimePoint now, const EntryPeer &entry) const;
+    /// Whether this entry hears an agent.
+    bool hearsAgent(TimePoint now) const;
     /// Answers the clients if all entries have confirmed, and those that time out.
     void answerCancellation(TimePoint now, Cancellation &cancellation);
     void confirmCancellation(TimePoint now, const Envelope &envelope, const JobStatus &status);
--- a/src/core/dispatch/entry_peers.cpp
+++ b/src/core/dispatch/entry_peers.cpp
@@ -313,7 +313,8 @@
     const std::vector<JobKey> jobs = activeJobs();
     for (std::map<Endpoint, EntryPeer>::iterator it = m_entries.begin(); it != m_entries.end();) {
         EntryPeer &entry = it->second;
-        if (entry.session.silence(now) > m_settings.timing.peerExpiry && !entry.fromSettings) {
+        // An entry that is cut off keeps the others: it must not take itself for the only one.
+        if (entry.session.silence(now) > m_settings.timing.peerExpiry && !entry.fromSettings && !mayRunJobs(now, entry)) {
             m_links.forgetConnection(it->first);
             it = m_entries.erase(it);
             continue;
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -1035,3 +1035,72 @@
     group.runFor(seconds(1));
     REQUIRE(group.startOrders >= 1);
 }
+
+TEST_CASE("An entry that is cut off from all others does not acknowledge the cancellation of a job that may go on elsewhere")
+{
+    const bool fromAgents = GENERATE(true, false);
+    const bool restarted = GENERATE(false, true);
+    const Duration cutFor = GENERATE(Duration(milliseconds(3500)), Duration(seconds(12)));
+    EntryGroup group;
+    const auto cut = [&](bool value) {
+        fromAgents ? group.cutOff(1, value) : group.cutOffFromEntries(1, value);
+    };
+    cut(true);
+    if (restarted) {
+        group.start(1);
+    }
+    group.runFor(cutFor);
+    group.cancel(1);
+    group.runFor(seconds(2));
+    REQUIRE(group.outcomes == std::vector<CancelOutcome>{CancelOutcome::Unconfirmed});
+    cut(false);
+    group.runFor(seconds(1));
+    group.cancel(1);
+    group.runFor(milliseconds(100));
+    REQUIRE(group.outcomes.back() == CancelOutcome::UnknownJob);
+}
+
+TEST_CASE("An entry that is cut off for long does not take itself for the only one")
+{
+    EntryGroup group(1);
+    group.cutOff(0, true);
+    group.runFor(seconds(12));
+    group.cancel(0);
+    group.runFor(seconds(2));
+    REQUIRE(group.outcomes == std::vector<CancelOutcome>{CancelOutcome::Unconfirmed});
+    group.cutOff(0, false);
+    group.runFor(seconds(1));
+    group.cancel(0);
+    group.runFor(milliseconds(100));
+    REQUIRE(group.outcomes.back() == CancelOutcome::UnknownJob);
+}
+
+TEST_CASE("Entries that are removed for good do not block the acknowledgement of cancellations")
+{
+    EntryGroup group;
+    group.remove(0);
+    const bool alone = GENERATE(true, false);
+    if (alone) {
+        group.remove(2);
+    }
+    group.cancel(1, seconds(4));
+    group.runFor(milliseconds(3500));
+    REQUIRE(group.outcomes == std::vector<CancelOutcome>{CancelOutcome::UnknownJob});
+    group.cancel(1);
+    group.runFor(milliseconds(100));
+    REQUIRE(group.outcomes.size() == 2);
+    REQUIRE(group.outcomes.back() == CancelOutcome::UnknownJob);
+}
+
+TEST_CASE("The only entry of a deployment acknowledges cancellations at once")
+{
+    RecordingLinks links;
+    RecordingClients clients;
+    DiscardingLog log;
+    EntrySettings settings = EntryFixture::settings();
+    settings.entries = {Self.endpoint};
+    EntryDispatch entry(settings, links, clients, log, TimePoint(seconds(100)));
+    std::vector<CancelOutcome> outcomes;
+    entry.cancel(TimePoint(seconds(101)), Job1, seconds(2), [&](CancelOutcome outcome) { outcomes.push_back(outcome); });
+    REQUIRE(outcomes == std::vector<CancelOutcome>{CancelOutcome::UnknownJob});
+}
