The loss of a coordinator does not extend the time that the runs of its unconfirmed jobs have left

Found in the review of the limits. Cause: when a coordinator was lost, the limit of its runs was fixed at 1.2 s after it was last known to be running, without regard to the earlier limit of an unconfirmed job. A job that another entry has never heard of, because its coordinator was cut off or killed before its next heartbeat, may be submitted again 1.3 s after the client's request; its runs could last until 1.8 s.

Change: the fixed limit is the earlier of both. The limits of a job are now stated from the client's request and the last confirmed list, 1.2 s and 1.8 s, where others count its coordinator's list for 2 s: 0.4 s are left for the stops of a confirmed job instead of 0.1 s.

Evidence: the new case of agent_dispatch_tests fails without the change; agent_dispatch_tests pass.

--- a/src/core/dispatch/agent_dispatch.cpp
+++ b/src/core/dispatch/agent_dispatch.cpp
@@ -375,7 +375,8 @@
             tasks.push_back(entry.first);
         }
     }
-    const TimePoint aliveAt = m_coordinators.at(coordinator).lastKnownAliveAt;
+    const Coordinator &lost = m_coordinators.at(coordinator);
+    const TimePoint aliveAt = lost.lastKnownAliveAt;
     if (!tasks.empty()) {
         m_log.write(LogLevel::Warning, "coordinator-lost",
                     "coordinator=" + toString(coordinator) + " reason=\"" + cause + "\" runs=" + std::to_string(tasks.size())
@@ -388,7 +389,7 @@
             m_ledger.remove(task);
             refuseRun(now, waiting, RefusalReason::Cancelled);
         } else {
-            limitRun(record, aliveAt + m_settings.timing.coordinatorRunLimit);
+            limitRun(record, std::min(aliveAt + m_settings.timing.coordinatorRunLimit, confirmationLimit(record, lost)));
             requestStop(now, record);
         }
     }
@@ -399,6 +400,16 @@
     record.limit = record.limit == TimePoint() ? limit : std::min(record.limit, limit);
 }
 
+TimePoint AgentDispatch::confirmationLimit(const RunRecord &record, const Coordinator &coordinator) const
+{
+    if (record.requestedAt == TimePoint()) {
+        return TimePoint::max();
+    }
+    const TimePoint endBy =
+        runsEndBy(m_settings.timing.coordination, record.requestedAt, record.admittedAt, coordinator.confirmedLists);
+    return endBy - coordinator.clockOffset;
+}
+
 TimePoint AgentDispatch::runLimit(const RunRecord &record) const
 {
     const AgentTiming &timing = m_settings.timing;
@@ -411,12 +422,7 @@
     }
     const Coordinator &coordinator = it->second;
     const TimePoint limit = coordinator.lastKnownAliveAt + timing.coordinatorRunLimit;
-    if (record.requestedAt == TimePoint()) {
-        return limit;
-    }
-    const TimePoint confirmed =
-        confirmedUntil(timing.coordination, record.requestedAt, record.admittedAt, coordinator.confirmedLists);
-    return std::min(limit, confirmed - coordinator.clockOffset + timing.unconfirmedRunLimit);
+    return std::min(limit, confirmationLimit(record, coordinator));
 }
 
 std::optional<TimePoint> AgentDispatch::leaseLimit() const
--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -28,9 +28,6 @@
     /// known to have been running, if their stops are late or lost. Less than the 1.3 s after which clients resubmit, by the
     /// precision of leases and clocks.
     Duration coordinatorRunLimit = milliseconds(1200);
-    /// The server ends runs by itself this long after they have lost their confirmation. They were given up 1.1 s after the
-    /// client's request, which the client repeats after 1.3 s.
-    Duration unconfirmedRunLimit = milliseconds(100);
     /// Allows three heartbeats within the 700 ms after which an entry considers an agent failed.
     Duration heartbeatInterval = milliseconds(200);
     /// Minimum interval between reports to an entry that name the live entries. Less than heartbeatInterval, so that each
@@ -246,6 +243,8 @@
     void stopRunsOf(TimePoint now, const Endpoint &coordinator, const char *cause);
     /// Fixes the limit of a run's lifetime, unless it has an earlier one.
     static void limitRun(RunRecord &record, TimePoint limit);
+    /// Latest time until which the run may be active if its coordinator gets no further list confirmed.
+    TimePoint confirmationLimit(const RunRecord &record, const Coordinator &coordinator) const;
     /// Latest time until which the run may be active: its coordinator may have failed, and clients resubmit its jobs after that.
     TimePoint runLimit(const RunRecord &record) const;
     /// The earliest limit of a run that may be active; nullopt if there is none. The lease of the server ends all of its runs, so
--- a/src/core/dispatch/coordination.h
+++ b/src/core/dispatch/coordination.h
@@ -23,6 +23,10 @@
     Duration unconfirmedJobTimeout = milliseconds(1100);
     /// A confirmed job may continue for this long after the list that was confirmed last.
     Duration confirmationTimeout = milliseconds(1400);
+    /// The runs of an unconfirmed job end within this after its client's request, which the client may repeat after 1.3 s.
+    Duration unconfirmedRunLimit = milliseconds(1200);
+    /// The runs of a confirmed job end within this after the list that was confirmed last: less than silentEntryTimeout.
+    Duration confirmedRunLimit = milliseconds(1800);
     /// The jobs of a silent entry that agents still hear count as active for this long. The entry gives them up after
     /// confirmationTimeout, and its runs need time to stop.
     Duration silentEntryTimeout = seconds(2);
@@ -51,12 +55,12 @@
     Duration maxCheckInterval = milliseconds(100);
 };
 
-/// Latest time, on the coordinator's clock, up to which isConfirmed() holds if no further list is confirmed.
-inline TimePoint confirmedUntil(const CoordinationTiming &timing, TimePoint requestedAt, TimePoint admittedAt,
-                                TimePoint confirmed) noexcept
+/// Time by which the runs of a job must have ended if no further list is confirmed. All times are as in isConfirmed().
+inline TimePoint runsEndBy(const CoordinationTiming &timing, TimePoint requestedAt, TimePoint admittedAt,
+                           TimePoint confirmed) noexcept
 {
-    const TimePoint unconfirmedUntil = requestedAt + timing.unconfirmedJobTimeout;
-    return confirmed > admittedAt ? std::max(unconfirmedUntil, confirmed + timing.confirmationTimeout) : unconfirmedUntil;
+    const TimePoint unconfirmed = requestedAt + timing.unconfirmedRunLimit;
+    return confirmed > admittedAt ? std::max(unconfirmed, confirmed + timing.confirmedRunLimit) : unconfirmed;
 }
 
 /// What an entry knows of the job lists that it exchanges with another entry. Times are on this entry's clock unless stated
--- a/tests/agent_dispatch_tests.cpp
+++ b/tests/agent_dispatch_tests.cpp
@@ -754,6 +754,32 @@
     REQUIRE(fixture.latestLease() <= latest);
 }
 
+TEST_CASE("The loss of a coordinator does not extend the time that the runs of its unconfirmed jobs have left")
+{
+    const bool restarts = GENERATE(false, true);
+    const int heardFor = GENERATE(10, 30, 60);
+    AgentFixture fixture;
+    fixture.tickFor(milliseconds(300));
+    StartOrder order = fixture.makeOrder("00000000000000f2", milliseconds(900), milliseconds(90), 1);
+    order.requestedAt = fixture.now;
+    order.admittedAt = fixture.now;
+    fixture.receiveFromEntry(std::move(order));
+    const ServerTime latest(fixture.serverClock().value() + 1200);
+    const dispatch::RunRef run = fixture.server.starts.at(0).run;
+    fixture.agent.onStartAnswered(fixture.now, run, StartAnswer::Accepted, fixture.serverClock());
+    for (int i = 0; i < 150; ++i) {
+        if (i > heardFor && restarts) {
+            fixture.entryIncarnation = Incarnation(4);
+        }
+        if (i <= heardFor || restarts) {
+            fixture.receiveFromEntry(EntryReport());
+        }
+        fixture.tickFor(milliseconds(15));
+        fixture.answerPoll(1, {ListedRun{run}});
+    }
+    REQUIRE(fixture.latestLease() <= latest);
+}
+
 TEST_CASE("A start request does not extend the lease of runs whose coordinator has failed")
 {
     AgentFixture fixture;
