A stop that could not be sent lets no other one follow at once

Found in the review of the queue of stops. Cause: a stop that was not sent, as all connections were in use, freed its place, and the next one was tried at once with the same result, until all waited for the tick again: with one connection too few 380 of 512 stops in 0.6 s (a trial of the reviewer) instead of 512 in 26 ms.

Change: only an acknowledged stop and the tick send waiting ones; 16 instead of 20 are in progress, which leaves connections for repeated starts and polls. A restart of the server also clears the acknowledgement of a stop, as a run that begins after it needs a new one.

Evidence: the case of agent_dispatch_tests checks both; agent_dispatch_tests pass.

--- a/src/core/dispatch/agent_dispatch.cpp
+++ b/src/core/dispatch/agent_dispatch.cpp
@@ -442,6 +442,7 @@
     m_ledger.sampleUrgentCpu(now);
     refuseExpiredRuns(now);
     checkServer(now);
+    sendWaitingStops(now);
     stopUnconfirmedRuns(now);
     retransmitStarts(now);
     startQueuedRuns(now);
--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -68,8 +68,8 @@
     CoordinationTiming coordination;
     std::uint32_t maxStartAttempts = 4; ///< Maximum number of times that a start request is sent.
     std::size_t maxStartsInFlight = 10; ///< Concurrent start requests, one connection each; polls use another connection.
-    /// Concurrent stop requests, one connection each, beside those of starts and polls.
-    std::size_t maxStopsInFlight = 20;
+    /// Concurrent stop requests, one connection each. Leaves connections for starts, polls and their repetitions.
+    std::size_t maxStopsInFlight = 16;
     std::size_t maxWaiting = 512; ///< Maximum number of queued tasks.
 };
 
--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -244,6 +244,7 @@
     for (RunLedger::Records::value_type &entry : m_ledger.records()) {
         if (entry.second.state != RunRecord::State::Queued) {
             entry.second.serverRestarted = true;
+            entry.second.stopAcknowledged = false;
             entry.second.conclusiveFromPoll = m_pollNumber + 1;
         }
     }
@@ -413,14 +414,18 @@
         m_clock.observe(*clock, now);
     }
     m_stopsInFlight -= m_stopsInFlight > 0 ? 1 : 0;
-    sendWaitingStops(now);
-    RunRecord *record = m_ledger.find(run.task);
-    if (record == nullptr || record->ref != run || !acknowledged) {
+    if (!acknowledged) {
+        // Repeated by the next tick: the call may not have been sent because all connections are in use.
         return;
     }
-    record->stopAcknowledged = true;
-    record->conclusiveFromPoll = m_pollNumber + 1;
-    if (!m_pollInFlight) {
+    RunRecord *record = m_ledger.find(run.task);
+    const bool current = record != nullptr && record->ref == run;
+    if (current) {
+        record->stopAcknowledged = true;
+        record->conclusiveFromPoll = m_pollNumber + 1;
+    }
+    sendWaitingStops(now);
+    if (current && !m_pollInFlight) {
         pollServer(now, true);
     }
 }
