Jobs that are submitted again for waiting clients follow the configuration in force

Cause: a job that was given up stays at its entry until its runs have ended or their agent has been silent for 10 s. Clients that resubmitted it meanwhile were kept without their request, and the job was submitted for them with the rule and the body of its first submission. The same held for clients that waited for a job of another entry. Nothing looked at the deadlines of the former.

Change: a waiting client keeps its own request. EntryDispatch::resubmit() is the only way to submit a job again for it. It matches the request with the queues in force; limits, objective and body follow from that. Without a queue the answer is 404 (JobOutcome::NoQueue), after the deadline 504. Clients that wait for runs to stop are answered at their deadlines.

The mapping to status 404 has no test of its own.

--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -14,7 +14,7 @@
 
 const char *toString(JobOutcome answer) noexcept
 {
-    constexpr const char *Names[] = {"succeeded", "failed", "cancelled", "not-run", "given-up"};
+    constexpr const char *Names[] = {"succeeded", "failed", "cancelled", "not-run", "no-queue", "given-up"};
     return Names[static_cast<std::size_t>(answer)];
 }
 
@@ -184,13 +184,14 @@
         clientTimeout = m_settings.defaultDeadline;
     }
     const TimePoint deadline = std::min(now + clientTimeout - m_settings.timing.answerMargin, m_shutdownDeadline);
-    submitUntil(now, WaitingClient{client, deadline, now}, queue, id, spec);
+    submitUntil(now, WaitingClient{client, deadline, now, queue, spec}, id);
 }
 
-void EntryDispatch::submitUntil(TimePoint now, const WaitingClient &waiting, const std::shared_ptr<const QueueRule> &queue,
-                                const JobId &id, const std::shared_ptr<const JobSpec> &spec)
+void EntryDispatch::submitUntil(TimePoint now, const WaitingClient &waiting, const JobId &id)
 {
     const ClientTag client = waiting.tag;
+    const std::shared_ptr<const QueueRule> &queue = waiting.queue;
+    const std::shared_ptr<const JobSpec> &spec = waiting.spec;
     const Jobs::iterator existing = m_jobs.find(id);
     if (existing != m_jobs.end()) {
         Job &job = existing->second;
@@ -229,12 +230,12 @@
         return;
     }
     if (const Endpoint *remote = remoteCoordinator(now, id)) {
-        joinRemoteJob(now, *remote, waiting, queue, id, spec);
+        joinRemoteJob(now, *remote, waiting, id);
         return;
     }
     const std::unordered_map<JobId, Transfer, JobIdHash>::const_iterator transferred = m_transfers.find(id);
     if (transferred != m_transfers.end() && m_entries.count(transferred->second.successor) > 0) {
-        joinRemoteJob(now, transferred->second.successor, waiting, queue, id, spec);
+        joinRemoteJob(now, transferred->second.successor, waiting, id);
         return;
     }
     if (now - m_resumedAt < m_settings.timing.pauseRecoveryWindow) {
@@ -449,8 +450,7 @@
     Job closed = std::move(it->second);
     m_jobs.erase(it);
     for (const WaitingClient &client : closed.resubmittedClients) {
-        m_clientJobs.erase(client.tag);
-        submitUntil(now, client, closed.queue, id, closed.spec);
+        resubmit(now, client, id);
     }
     const Jobs::iterator resubmitted = m_jobs.find(id);
     if (resubmitted == m_jobs.end()) {
@@ -586,6 +586,7 @@
             && now - it->second.answerDecidedAt > m_settings.timing.notRunConfirmationTimeout) {
             answerClients(now, it->second);
         }
+        answerExpiredClients(now, it->second);
         checkRuns(now, it->second);
         closeIfNoRunsLeft(now, id);
     }
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -156,6 +156,12 @@
     {
         return m_config;
     }
+    /// Sets the queues of the configuration in force, for jobs that are submitted again for waiting clients. Before the first
+    /// call, the rule of the client's request applies.
+    void setQueues(std::shared_ptr<const QueueConfig> queues)
+    {
+        m_queues = std::move(queues);
+    }
     /// Called when a peer sends a newer configuration than the one in force.
     std::function<void(const ConfigBlob &)> onNewerConfig;
 
@@ -231,8 +237,6 @@
         std::vector<WaitingClient> clients;
         Endpoint coordinator;
         TimePoint joinSentAt;
-        std::shared_ptr<const QueueRule> queue;
-        std::shared_ptr<const JobSpec> spec;
     };
 
     /// Outcome of a job that was answered here.
@@ -284,9 +288,7 @@
     void handleRunEvent(TimePoint now, AgentView &agent, const RunEvent &event);
     void handleRunEnd(TimePoint now, AgentView &agent, Job &job, TaskState &task, const RunEvent &event);
     /// Makes a client wait for a job that another entry coordinates.
-    void joinRemoteJob(TimePoint now, const Endpoint &coordinator, const WaitingClient &client,
-                       const std::shared_ptr<const QueueRule> &queue, const JobId &id,
-                       const std::shared_ptr<const JobSpec> &spec);
+    void joinRemoteJob(TimePoint now, const Endpoint &coordinator, const WaitingClient &client, const JobId &id);
     /// Records that a job must not start here; false if there are too many such records.
     bool recordCancelledJob(TimePoint now, const JobId &id);
     void handleCancel(TimePoint now, const Endpoint &from, EntryPeer &entry, const JobId &id);
@@ -308,8 +310,12 @@
     JobStatus::State transfer(TimePoint now, const Endpoint &to, const JobId &id, JobStatus::State state);
     void handleJobStatus(TimePoint now, const Endpoint &from, const JobStatus &status);
     /// Submits a job whose client waits until its deadline.
-    void submitUntil(TimePoint now, const WaitingClient &client, const std::shared_ptr<const QueueRule> &queue, const JobId &id,
-                     const std::shared_ptr<const JobSpec> &spec);
+    void submitUntil(TimePoint now, const WaitingClient &client, const JobId &id);
+    /// Submits a job for a client that has waited for the end of its former submission, here or at another entry, with the rule
+    /// of the configuration in force. A client whose deadline has passed, or whose queue is gone, is answered.
+    void resubmit(TimePoint now, const WaitingClient &client, const JobId &id);
+    /// Answers the clients that have waited until their deadlines for the runs of an answered job to stop.
+    void answerExpiredClients(TimePoint now, Job &job);
     /// Stores a job and places its first steps; refuses the job if that fails.
     void admit(TimePoint now, Job &&job);
     /// Places the waiting tasks of a step. On failure returns false with the reason in `job.reason`. Until a run of the job has
@@ -414,6 +420,7 @@
     std::deque<std::pair<TimePoint, JobId>> m_endedOrder; ///< Ended jobs with their end times, oldest first.
     std::map<std::string, RunTimeEstimate> m_estimates; ///< By queue.
     ConfigBlob m_config;
+    std::shared_ptr<const QueueConfig> m_queues; ///< Null until it is set.
     ConfigFetch m_configFetch;
     CoordinationRules m_coordination;
     TimePoint m_overdueUpdatedAt;
--- a/src/core/dispatch/entry_joined_jobs.cpp
+++ b/src/core/dispatch/entry_joined_jobs.cpp
@@ -35,17 +35,13 @@
     return it != entry.formerJobs.end() && now < it->second;
 }
 
-void EntryDispatch::joinRemoteJob(TimePoint now, const Endpoint &coordinator, const WaitingClient &client,
-                                  const std::shared_ptr<const QueueRule> &queue, const JobId &id,
-                                  const std::shared_ptr<const JobSpec> &spec)
+void EntryDispatch::joinRemoteJob(TimePoint now, const Endpoint &coordinator, const WaitingClient &client, const JobId &id)
 {
     ++m_counters.joined;
     JoinedJob &joined = m_joinedJobs[id];
     joined.clients.push_back(client);
     joined.coordinator = coordinator;
     joined.joinSentAt = now;
-    joined.queue = queue;
-    joined.spec = spec;
     m_clientJobs[client.tag] = id;
     m_log.write(LogLevel::Info, "job-joined", "job=" + idText(id) + " coordinator=" + toString(coordinator));
     sendToEntry(now, coordinator, m_entries.find(coordinator)->second, JoinJob{id});
@@ -126,15 +122,44 @@
             break;
         default:
             // The coordinator does not know the job, or has refused it or given it up: submit it here.
-            if (now >= client.deadline) {
-                m_clients.answer(client.tag, JobOutcome::GivenUp, "deadline", Duration(0));
-            } else {
-                submitUntil(now, client, joined.queue, status.job, joined.spec);
-            }
+            resubmit(now, client, status.job);
         }
     }
 }
 
+void EntryDispatch::resubmit(TimePoint now, const WaitingClient &client, const JobId &id)
+{
+    m_clientJobs.erase(client.tag);
+    if (now >= client.deadline) {
+        m_clients.answer(client.tag, JobOutcome::GivenUp, "deadline", Duration(0));
+        return;
+    }
+    WaitingClient current = client;
+    if (m_queues) {
+        // The path of a submission is the prefix of its queue and the id.
+        current.queue = m_queues->match(client.queue->host, client.queue->prefix + idText(id));
+    }
+    if (!current.queue) {
+        m_log.write(LogLevel::Info, "job-refused",
+                    "job=" + idText(id) + " queue=" + client.queue->name + " reason=no-such-queue");
+        m_clients.answer(client.tag, JobOutcome::NoQueue, "no such queue", Duration(0));
+        return;
+    }
+    submitUntil(now, current, id);
+}
+
+void EntryDispatch::answerExpiredClients(TimePoint now, Job &job)
+{
+    const std::vector<WaitingClient>::iterator expired =
+        std::stable_partition(job.resubmittedClients.begin(), job.resubmittedClients.end(),
+                              [now](const WaitingClient &client) { return now < client.deadline; });
+    for (std::vector<WaitingClient>::iterator it = expired; it != job.resubmittedClients.end(); ++it) {
+        m_clientJobs.erase(it->tag);
+        m_clients.answer(it->tag, JobOutcome::GivenUp, "deadline", Duration(0));
+    }
+    job.resubmittedClients.erase(expired, job.resubmittedClients.end());
+}
+
 void EntryDispatch::notifyJoinedEntries(TimePoint now, Job &job)
 {
     for (const Endpoint &joinedEntry : job.joinedEntries) {
--- a/src/core/dispatch/job.h
+++ b/src/core/dispatch/job.h
@@ -49,12 +49,15 @@
     bool runTimesValid = true; ///< False once a run time includes a delay in the server's responses.
 };
 
-/// A client that waits for a job.
+/// A client's request to run a job, for as long as the client waits.
 struct WaitingClient
 {
     ClientTag tag;
     TimePoint deadline; ///< Latest time of its answer.
     TimePoint requestedAt; ///< When its request arrived.
+    /// The queue of its request in the configuration that was in force when the job was last submitted for it.
+    std::shared_ptr<const QueueRule> queue;
+    std::shared_ptr<const JobSpec> spec; ///< As in its request.
 };
 
 struct Job
@@ -64,7 +67,8 @@
     std::shared_ptr<const JobSpec> spec;
     std::shared_ptr<const std::string> payload;
     std::vector<ClientTag> clients;
-    /// Clients that resubmitted the job after its answer, while runs were still being stopped.
+    /// Clients that resubmitted the job after its answer, while runs were still being stopped. The job is submitted for them
+    /// afterwards as their own requests and the configuration of that time have it.
     std::vector<WaitingClient> resubmittedClients;
     std::vector<Endpoint> joinedEntries; ///< Other entries to notify of the outcome.
     TimePoint receivedAt;
@@ -93,6 +97,7 @@
     case JobOutcome::Cancelled:
         return JobStatus::State::Cancelled;
     case JobOutcome::NotRun:
+    case JobOutcome::NoQueue:
     case JobOutcome::GivenUp:
         break;
     }
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -76,6 +76,7 @@
         return;
     }
     m_dispatch->setConfig(dispatch::ConfigBlob{config->version, document});
+    m_dispatch->setQueues(config);
     m_gateway.setConfig(config);
     HttpLimits limits = httpLimits();
     limits.maxBodyBytes = config->limits.maxBodyBytes;
--- a/src/ports/dispatch_ports.h
+++ b/src/ports/dispatch_ports.h
@@ -150,6 +150,7 @@
     Failed,
     Cancelled,
     NotRun, ///< No task of the job has started or will start.
+    NoQueue, ///< As NotRun, because the configuration in force has no queue for the request any more.
     GivenUp, ///< Abandoned before its end; some tasks may have run. A resubmission starts the whole job again.
 };
 
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -813,3 +813,92 @@
     fixture.runFor(EntryFixture::settings().timing.coordination.admissionHold);
     REQUIRE(fixture.entry.mayAdmit(fixture.now));
 }
+
+TEST_CASE("A job that is submitted again for a waiting client follows its own request and the configuration in force")
+{
+    // Scenario: a job is given up while the agent that runs it is gone. Its clients resubmit it to the same entry, and the
+    // configuration changes before the agent's state is removed.
+    EntryFixture fixture;
+    fixture.submit(1, milliseconds(600), milliseconds(300));
+    fixture.receiveReport({EntryFixture::makeEvent(RunEvent::Kind::Started)});
+    fixture.runFor(milliseconds(615));
+    REQUIRE(fixture.clients.answers.at(1) == JobOutcome::GivenUp);
+    const bool joined = GENERATE(false, true);
+    if (joined) {
+        // The same for a job that another entry coordinates.
+        fixture.receiveReport({EntryFixture::makeEvent(RunEvent::Kind::Ended, RunEnd::Stopped)});
+        fixture.otherReport.activeJobs = {Job1.key()};
+        fixture.receiveFromEntry(fixture.otherReport);
+    }
+    std::shared_ptr<dispatch::JobSpec> spec = std::make_shared<dispatch::JobSpec>(*EntryFixture::makeSpec(milliseconds(50)));
+    spec->payload = "y";
+    spec->steps.front().need.cpuMilli = 2000;
+    fixture.entry.submit(fixture.now, ClientTag(2), fixture.queue, Job1, spec, seconds(2));
+    std::shared_ptr<QueueRule> rule = std::make_shared<QueueRule>(*fixture.queue);
+    std::shared_ptr<dispatch::QueueConfig> config = std::make_shared<dispatch::QueueConfig>();
+    config->version = 2;
+    const auto endFormerSubmission = [&]() {
+        if (joined) {
+            fixture.otherReport.activeJobs.clear();
+            fixture.receiveFromEntry(JobStatus{Job1, JobStatus::State::Refused});
+        } else {
+            fixture.receiveReport({EntryFixture::makeEvent(RunEvent::Kind::Ended, RunEnd::Stopped)});
+        }
+    };
+    SECTION("with other limits and objectives")
+    {
+        rule->name = "q2";
+        rule->urgency = 3;
+        rule->latencyObjective = milliseconds(900);
+        config->queues = {rule};
+        fixture.entry.setQueues(config);
+        endFormerSubmission();
+        const std::vector<StartOrder> starts = fixture.links.messagesTo<StartOrder>(Agent.endpoint);
+        REQUIRE(starts.size() == 2);
+        CHECK(starts[1].queue == queueKey("q2"));
+        CHECK(starts[1].urgency == 3);
+        CHECK(starts[1].inTimeWithin > milliseconds(800));
+        CHECK(*starts[1].payload == "y");
+        CHECK(starts[1].need.cpuMilli == 2000);
+    }
+    SECTION("with another service")
+    {
+        rule->service = "other";
+        config->queues = {rule};
+        fixture.entry.setQueues(config);
+        endFormerSubmission();
+        // No agent of that service is known.
+        CHECK(fixture.clients.answers.at(2) == JobOutcome::NotRun);
+        CHECK(fixture.links.messagesTo<StartOrder>(Agent.endpoint).size() == 1);
+    }
+    SECTION("without its queue")
+    {
+        fixture.entry.setQueues(config);
+        endFormerSubmission();
+        CHECK(fixture.clients.answers.at(2) == JobOutcome::NoQueue);
+        CHECK(fixture.links.messagesTo<StartOrder>(Agent.endpoint).size() == 1);
+    }
+    CHECK(fixture.entry.pending("q") == 0);
+}
+
+TEST_CASE("A client that resubmits a job whose runs do not end is answered at its deadline")
+{
+    EntryFixture fixture;
+    fixture.submit(1, milliseconds(600), milliseconds(300));
+    fixture.receiveReport({EntryFixture::makeEvent(RunEvent::Kind::Started)});
+    fixture.runFor(milliseconds(615));
+    fixture.submit(2, milliseconds(400));
+    fixture.submit(3, seconds(5));
+    fixture.runFor(milliseconds(375));
+    REQUIRE(fixture.clients.answers.count(2) == 0);
+    fixture.runFor(milliseconds(30));
+    REQUIRE(fixture.clients.answers.at(2) == JobOutcome::GivenUp);
+    REQUIRE(fixture.clients.answers.count(3) == 0);
+    REQUIRE(fixture.entry.unanswered() == 1);
+    // The process has no turn until after the other deadline, and the end of the run is read first.
+    fixture.now += seconds(5);
+    fixture.receiveReport({EntryFixture::makeEvent(RunEvent::Kind::Ended, RunEnd::Stopped)});
+    REQUIRE(fixture.clients.answers.at(3) == JobOutcome::GivenUp);
+    REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).size() == 1);
+    REQUIRE(fixture.entry.unanswered() == 0);
+}
