Agents confirm the incarnation of an idle server before a start

Cause: an agent does not poll an idle server, and relied on the labels and the capacity of the former incarnation. Queued runs, and orders in transit, that had been placed by the labels of the former incarnation were started on the next one as well.

Change: before the first start after idleness the agent polls once; no start request is sent or repeated more than 200 ms after the request of the poll whose response has shown the incarnation, nor after a failed poll. Queued runs are handed back when another incarnation is found and, without an answer, on the second tick. A run that waits for this poll does not make reports more frequent.

The test of an unanswered start counts the polls from the start on, as one is sent before it.

--- a/src/core/dispatch/agent_coordinators.cpp
+++ b/src/core/dispatch/agent_coordinators.cpp
@@ -130,8 +130,9 @@
         }
         return;
     }
-    const Duration interval =
-        m_ledger.waiting() > 0 ? m_settings.timing.queuedReportInterval : m_settings.timing.heartbeatInterval;
+    // Runs that wait for a poll of an idle server are no queue: an additional report would delay the next one that names entries.
+    const bool queued = m_ledger.waiting() > 0 && m_ledger.booked() > 0;
+    const Duration interval = queued ? m_settings.timing.queuedReportInterval : m_settings.timing.heartbeatInterval;
     const bool heartbeatDue = now - coordinator.session.lastSentAt() >= (inUse ? interval : m_settings.timing.entryProbeInterval);
     if (eventsDue || retransmissionDue || heartbeatDue) {
         sendReport(now, to, coordinator, retransmissionDue);
--- a/src/core/dispatch/agent_dispatch.cpp
+++ b/src/core/dispatch/agent_dispatch.cpp
@@ -71,8 +71,10 @@
     ++m_counters.ordersTaken;
     const std::optional<Duration> age = PeerSession::maxAge(envelope, now);
     const bool incarnationMatches = envelope.toIncarnation == m_settings.self.incarnation;
+    // The entry chose this server by labels that it had been told before.
+    const bool outdatedLabels = envelope.echoOf < m_labelsChangedAt;
     for (const OrderedRun &run : order.runs) {
-        if (!incarnationMatches || !age || *age > m_settings.timing.maxOrderAge) {
+        if (!incarnationMatches || !age || *age > m_settings.timing.maxOrderAge || outdatedLabels) {
             RunEvent event;
             event.run = RunRef{TaskRef{order.job, 0, order.step, run.index}, run.run};
             event.kind = RunEvent::Kind::Ended;
@@ -185,6 +187,9 @@
         if (!m_ledger.hasFreeResources(record->need)) {
             return;
         }
+        if (!confirmIncarnation(now)) {
+            return;
+        }
         m_ledger.book(*record);
         record->startedAt = now;
         m_waitTimes.record(now - record->queuedAt);
@@ -224,7 +229,7 @@
         unanswered = unanswered || overdue;
         const bool mayRetransmit = !record.stopRequested && !record.serverRestarted && coordinatorAlive(now, record.coordinator);
         if (overdue && mayRetransmit && record.startAttempts < m_settings.timing.maxStartAttempts && m_serverIncarnation
-            && capacityKnown(now)) {
+            && capacityKnown(now) && incarnationSeen(now)) {
             ++m_counters.startsRepeated;
             sendStart(now, record);
         }
--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -51,6 +51,9 @@
     /// An announced capacity is used for this long. The platform lets a capacity that has shrunk apply after 4.5 s, and the
     /// server's clock, which measures this time, may run 2% slow.
     Duration capacityValidity = milliseconds(4400);
+    /// A response shows for this long after its request was sent which incarnation runs, unless polling stops or fails before.
+    /// Allows for a long poll and a pause of 100 ms of a process that waits for its share of processor time.
+    Duration incarnationValidity = milliseconds(200);
     /// After two announcement intervals without a higher sequence number, lower ones that rise show that the highest was not the
     /// server's. Less than announcementTimeout, so that the server stays in use.
     Duration sequenceTimeout = seconds(3);
@@ -244,6 +247,13 @@
     /// Requests the inventory of the backend server. The poll also renews the lease and acknowledges ended runs. The server holds
     /// a long poll until a run ends or pollHoldTime has passed.
     void pollServer(TimePoint now, bool longPoll);
+    /// Whether the server may get a start request: it has shown that it is the incarnation whose labels and capacity are known,
+    /// and it has been polled since.
+    bool incarnationSeen(TimePoint now) const noexcept;
+    /// Polls a server whose incarnation has not been seen recently enough for a start request. Returns whether it has.
+    bool confirmIncarnation(TimePoint now);
+    /// An idle server is not polled, so that its end would not be noticed: the next start request has to wait for a poll.
+    void forgetIdleIncarnation() noexcept;
     /// Compares the records with the response to poll `number`: records the end of runs that are no longer listed, and stops
     /// listed runs that have no record.
     void reconcile(TimePoint now, std::uint64_t number, const Inventory &inventory);
@@ -304,6 +314,7 @@
     bool m_draining = false;
     bool m_leftServer = false; ///< The server's id was deregistered, and it has not responded since.
     std::vector<std::string> m_labels;
+    TimePoint m_labelsChangedAt; ///< Start orders of entries that had not heard of the change rely on other labels.
     ServerClock m_clock;
     FencingToken m_token;
     std::int64_t m_tokenIncrement = 1;
@@ -314,6 +325,8 @@
 
     std::uint64_t m_pollNumber = 0; ///< Number of the outstanding poll, or of the latest one.
     bool m_pollInFlight = false;
+    TimePoint m_pollSentAt; ///< When the outstanding poll, or the latest one, was sent.
+    TimePoint m_incarnationSeenAt; ///< When the poll was sent that has shown the incarnation; zero if that is not known any more.
     TimePoint m_pollDeadline; ///< Latest expected response to the outstanding poll.
     TimePoint m_inventoryAt; ///< Time of the latest poll response.
     bool m_lastPollUnanswered = false; ///< The latest completed poll failed or timed out.
--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -172,7 +172,10 @@
     const bool capacityChanged = announcement.capacity != m_ledger.capacity();
     m_ledger.setCapacity(announcement.capacity);
     m_capacityValidUntil = ServerTime(announcement.clock.value() + toMs(m_settings.timing.capacityValidity));
-    m_labels = announcement.labels;
+    if (announcement.labels != m_labels) {
+        m_labels = announcement.labels;
+        m_labelsChangedAt = now;
+    }
     if (!m_reachable) {
         m_reachable = true;
         m_reconciled = false;
@@ -226,6 +229,9 @@
                 "reason=\"" + std::string(cause) + "\" runs=" + std::to_string(m_ledger.booked()));
     m_clock.reset();
     m_leaseUntil = ServerTime();
+    // Entries placed them by the labels of this incarnation.
+    refuseQueuedRuns(now, RefusalReason::NoServer);
+    m_incarnationSeenAt = TimePoint();
     m_incarnationConfirmed = false;
     m_announcedIncarnation.reset();
     m_announcementSequence = 0;
@@ -405,6 +411,7 @@
         recordEnd(now, endedRecord, RunEnd::NeverStarted, refused, false);
     }
     startAndReport(now);
+    forgetIdleIncarnation();
 }
 
 void AgentDispatch::onStopAnswered(TimePoint now, const RunRef &run, bool acknowledged, std::optional<ServerTime> clock)
@@ -447,6 +454,7 @@
     poll.maxWait = longPoll && !resolving ? m_settings.timing.pollHoldTime : Duration(0);
     ++m_pollNumber;
     m_pollInFlight = true;
+    m_pollSentAt = now;
     m_pollDeadline = now + poll.maxWait + m_settings.timing.callRetryTimeout;
     m_server.poll(m_pollNumber, poll);
 }
@@ -465,6 +473,7 @@
         return;
     }
     if (!inventory) {
+        m_incarnationSeenAt = TimePoint();
         m_incarnationConfirmed = m_incarnationConfirmed && failure != PollFailure::IncarnationMismatch;
         ++m_counters.pollsFailed;
         m_pollFailedAt = now;
@@ -480,12 +489,14 @@
                 recordAllRunsLost(now, "the backend server has left");
             }
         }
-        if ((failure == PollFailure::NotSent || failure == PollFailure::Refused) && m_reachable) {
+        const bool absent =
+            failure == PollFailure::NotSent || failure == PollFailure::Refused || failure == PollFailure::IncarnationMismatch;
+        if (absent && m_reachable) {
             m_reachable = false;
             m_log.write(LogLevel::Warning, "server-unreachable", "id=" + m_serverIncarnation->id);
             refuseQueuedRuns(now, RefusalReason::Unreachable);
         }
-        m_nextPollAt = now + (m_ledger.booked() > 0 ? m_settings.timing.callRetryTimeout : m_settings.timing.probeInterval);
+        m_nextPollAt = now + (m_ledger.records().empty() ? m_settings.timing.probeInterval : m_settings.timing.callRetryTimeout);
         sendDueReports(now);
         return;
     }
@@ -507,12 +518,40 @@
     m_crashRecorded = false;
     m_unresponsiveRuns.clear();
     m_inventoryAt = now;
+    m_incarnationSeenAt = m_pollSentAt;
     m_clock.observe(inventory->clock, now);
     reconcile(now, number, *inventory);
+    // Runs that start on an idle server are polled for once their start has been answered.
+    const bool idle = m_ledger.booked() == 0;
     startAndReport(now);
-    if (m_ledger.booked() > 0 || m_endsUnacknowledged || !m_reconciled) {
+    const bool busy = !idle && m_ledger.booked() > 0;
+    if (!m_pollInFlight && (busy || m_endsUnacknowledged || !m_reconciled)) {
         pollServer(now, m_reconciled && m_ledger.booked() > 0);
     }
+    forgetIdleIncarnation();
+}
+
+bool AgentDispatch::incarnationSeen(TimePoint now) const noexcept
+{
+    return m_incarnationSeenAt != TimePoint() && now - m_incarnationSeenAt <= m_settings.timing.incarnationValidity;
+}
+
+bool AgentDispatch::confirmIncarnation(TimePoint now)
+{
+    if (incarnationSeen(now)) {
+        return true;
+    }
+    if (!m_pollInFlight) {
+        pollServer(now, false);
+    }
+    return false;
+}
+
+void AgentDispatch::forgetIdleIncarnation() noexcept
+{
+    if (m_ledger.booked() == 0 && !m_pollInFlight) {
+        m_incarnationSeenAt = TimePoint();
+    }
 }
 
 void AgentDispatch::reconcile(TimePoint now, std::uint64_t number, const Inventory &inventory)
@@ -649,7 +688,10 @@
         }
         recordEnd(now, record, RunEnd::Lost, RefusalReason::Unreachable, true);
     }
-    if (m_lastPollUnanswered && m_reachable && now - m_inventoryAt > m_settings.timing.serverTimeout && m_ledger.booked() > 0) {
+    const bool hasWork = !m_ledger.records().empty();
+    // Runs that wait for the first poll of an idle server have not started, and can still be in time elsewhere.
+    const bool silent = now - m_inventoryAt > m_settings.timing.serverTimeout || m_ledger.booked() == 0;
+    if (m_lastPollUnanswered && m_reachable && silent && hasWork) {
         m_reachable = false;
         m_log.write(LogLevel::Warning, "server-unreachable",
                     "id=" + m_serverIncarnation->id + " silent_ms=" + ms(now - m_inventoryAt)
@@ -670,7 +712,7 @@
         refuseQueuedRuns(now, RefusalReason::NoServer);
         reportToAll(now);
     }
-    if (m_pollInFlight && now > m_pollDeadline && m_ledger.booked() > 0) {
+    if (m_pollInFlight && now > m_pollDeadline && hasWork) {
         // A late response to this poll is ignored, because the next poll has a higher number.
         m_pollFailedAt = now;
         m_lastPollUnanswered = true;
--- a/tests/agent_dispatch_tests.cpp
+++ b/tests/agent_dispatch_tests.cpp
@@ -170,19 +170,26 @@
         }
     }
 
-    /// Delivers a message from the entry. It echoes the last message of the agent, so the agent must have sent one before.
-    void receiveFromEntry(dispatch::Message &&message, std::uint64_t eventsSeen = 0)
+    /// Delivers a message from the entry. It echoes the last message of the agent, or an earlier one, so the agent must have sent
+    /// one before.
+    void receiveFromEntry(dispatch::Message &&message, std::uint64_t eventsSeen = 0,
+                          std::optional<TimePoint> echoOf = std::nullopt)
     {
         dispatch::Envelope envelope;
         envelope.from = ProcessId{EntryAddress, Incarnation(3)};
         envelope.toIncarnation = Incarnation(9);
         envelope.fromEntry = true;
         envelope.sentAt = now;
-        envelope.echoOf = links.lastEnvelopes.at(EntryAddress).sentAt;
+        envelope.echoOf = echoOf.value_or(links.lastEnvelopes.at(EntryAddress).sentAt);
         envelope.echoHeld = now - envelope.echoOf - messageAge;
         envelope.eventsSeen = eventsSeen;
         envelope.message = std::move(message);
+        const std::size_t pollsBefore = server.polls.size();
         agent.onMessage(now, envelope);
+        const bool confirming = agent.ledger().waiting() > 0 && agent.ledger().booked() == 0 && server.polls.size() > pollsBefore;
+        if (answersConfirmation && confirming) {
+            answerPoll(server.polls.back().server.startTimeMs);
+        }
     }
 
     StartOrder makeOrder(const char *job, Duration estimate, Duration slack, std::uint32_t tasks)
@@ -209,6 +216,8 @@
     std::uint64_t lastOrderNumber = 0;
     std::uint64_t lastAnnouncement = 0;
     std::uint64_t lastAnsweredPoll = 0;
+    /// The poll before the first start on an idle server is answered by the incarnation that it is for.
+    bool answersConfirmation = true;
     Duration messageAge{0}; ///< Upper bound of the age of a message from the entry, as the agent computes it.
 };
 
@@ -218,13 +227,13 @@
 
 TEST_CASE("An unanswered start request makes the agent poll the server, even if no other call is in progress")
 {
-    // Scenario: a server fails while it is idle, and all start requests that follow are lost.
+    // Scenario: a server fails just after it has answered the poll before its first start, and all start requests are lost.
     AgentFixture fixture;
     fixture.tickFor(milliseconds(300));
-    const std::size_t pollsBefore = fixture.server.polls.size();
     fixture.receiveFromEntry(fixture.makeOrder("00000000000000aa", milliseconds(100), milliseconds(90), 1));
     fixture.tickFor(milliseconds(15));
     REQUIRE(fixture.server.starts.size() == 1);
+    const std::size_t pollsBefore = fixture.server.polls.size();
     fixture.tickFor(milliseconds(60));
     REQUIRE(fixture.server.polls.size() > pollsBefore);
 }
@@ -766,3 +775,132 @@
     REQUIRE(fixture.agent.ledger().booked() == 0);
     REQUIRE(earliest.notAfter < latest.notAfter);
 }
+
+TEST_CASE("A restart of an idle server as another kind is noticed before a run is started there")
+{
+    // Scenario: a server restarts at its address with other labels. A run that needs a label of the former incarnation arrives
+    // before the first announcement of the new one.
+    AgentFixture fixture;
+    fixture.answersConfirmation = false;
+    fixture.tickFor(milliseconds(300));
+    const std::size_t pollsBefore = fixture.server.polls.size();
+    fixture.receiveFromEntry(fixture.makeOrder("0000000000000101", milliseconds(100), milliseconds(90), 2));
+    REQUIRE(fixture.server.starts.empty());
+    REQUIRE(fixture.server.polls.size() == pollsBefore + 1);
+    REQUIRE(fixture.server.polls.back().maxWait == Duration(0));
+    SECTION("under its id")
+    {
+        fixture.answerPoll(2);
+    }
+    SECTION("under another id")
+    {
+        fixture.agent.onPollAnswered(fixture.now, fixture.server.lastPollNumber, std::nullopt, PollFailure::IncarnationMismatch);
+    }
+    // The entry can place the runs elsewhere at once.
+    REQUIRE(fixture.agent.ledger().records().empty());
+    const std::vector<RunEvent> events = fixture.lastReport().events;
+    REQUIRE(std::count_if(
+                events.begin(), events.end(),
+                [](const RunEvent &event) { return event.kind == RunEvent::Kind::Ended && event.end == RunEnd::NeverStarted; })
+            == 2);
+    REQUIRE_FALSE(fixture.reportsAccepting());
+    fixture.receiveFromEntry(fixture.makeOrder("0000000000000102", milliseconds(100), milliseconds(90), 1));
+    fixture.tickFor(milliseconds(60));
+    REQUIRE(fixture.server.starts.empty());
+}
+
+TEST_CASE("An idle server is polled again before each first start, however short the idle time was")
+{
+    AgentFixture fixture;
+    fixture.tickFor(milliseconds(300));
+    fixture.receiveFromEntry(fixture.makeOrder("0000000000000103", milliseconds(100), milliseconds(90), 1));
+    REQUIRE(fixture.server.starts.size() == 1);
+    const RunRef run = fixture.server.starts[0].run;
+    fixture.answersConfirmation = false;
+    SECTION("after a run has ended")
+    {
+        fixture.agent.onStartAnswered(fixture.now, run, StartAnswer::Accepted, fixture.serverClock());
+        fixture.answerPoll(1, {}, {FinishedRun{1, run, RunEnd::Done}});
+        fixture.answerPoll(1);
+    }
+    SECTION("after a run was refused")
+    {
+        fixture.agent.onStartAnswered(fixture.now, run, StartAnswer::NoRoom, fixture.serverClock());
+    }
+    fixture.now += milliseconds(1);
+    fixture.receiveFromEntry(fixture.makeOrder("0000000000000104", milliseconds(100), milliseconds(90), 1));
+    REQUIRE(fixture.server.starts.size() == 1);
+    fixture.answerPoll(1);
+    REQUIRE(fixture.server.starts.size() == 2);
+}
+
+TEST_CASE("No start request is sent or repeated on a response of the server that is too old")
+{
+    // Scenario: this process is paused. Meanwhile the server may have restarted, and the end of the connection is read last.
+    AgentFixture fixture;
+    fixture.tickFor(milliseconds(300));
+    fixture.receiveFromEntry(fixture.makeOrder("0000000000000105", milliseconds(400), milliseconds(90), 1));
+    REQUIRE(fixture.server.starts.size() == 1);
+    const bool answered = GENERATE(true, false);
+    if (answered) {
+        fixture.agent.onStartAnswered(fixture.now, fixture.server.starts[0].run, StartAnswer::Accepted, fixture.serverClock());
+    }
+    fixture.now += milliseconds(210);
+    fixture.answersConfirmation = false;
+    fixture.receiveFromEntry(fixture.makeOrder("0000000000000106", milliseconds(100), milliseconds(90), 1));
+    REQUIRE(fixture.server.starts.size() == 1);
+    if (!answered) {
+        fixture.agent.onTick(fixture.now);
+        REQUIRE(fixture.server.starts.size() == 1);
+    } else {
+        // The response to the poll from before the pause is as old.
+        fixture.answerPoll(1, {ListedRun{fixture.server.starts[0].run}});
+        REQUIRE(fixture.server.polls.back().maxWait == Duration(0));
+        fixture.answerPoll(1, {ListedRun{fixture.server.starts[0].run}});
+        REQUIRE(fixture.server.starts.size() == 2);
+    }
+}
+
+TEST_CASE("Runs that were placed by the labels of a former incarnation do not start on the next one")
+{
+    AgentFixture fixture;
+    fixture.tickFor(milliseconds(300));
+    fixture.receiveFromEntry(fixture.makeOrder("0000000000000107", milliseconds(400), milliseconds(90), 5));
+    REQUIRE(fixture.server.starts.size() == 4);
+    const TimePoint lastReportAt = fixture.lastReportAt();
+    fixture.now += milliseconds(10);
+    ServerAnnouncement announcement = fixture.makeAnnouncement(Resources{12000, 1000, 0}, 2);
+    announcement.labels = {"other"};
+    fixture.agent.onAnnouncement(fixture.now, announcement);
+    fixture.answerPoll(2);
+    fixture.answerPoll(2);
+    fixture.answerPoll(2);
+    fixture.tickFor(milliseconds(15));
+    REQUIRE(fixture.reportsAccepting());
+    REQUIRE(fixture.agent.ledger().waiting() == 0);
+    REQUIRE(fixture.server.starts.size() == 4);
+    // This order was sent before the entry could know of the restart.
+    fixture.receiveFromEntry(fixture.makeOrder("0000000000000108", milliseconds(100), milliseconds(90), 1), 0, lastReportAt);
+    fixture.answerPoll(2);
+    REQUIRE(fixture.server.starts.size() == 4);
+    REQUIRE(fixture.lastReport().events.back().reason == RefusalReason::TooOld);
+    fixture.receiveFromEntry(fixture.makeOrder("0000000000000109", milliseconds(100), milliseconds(90), 1));
+    REQUIRE(fixture.server.starts.size() == 5);
+}
+
+TEST_CASE("An idle server that does not answer gets no start request, and its runs are handed back within 100 ms")
+{
+    AgentFixture fixture;
+    fixture.answersConfirmation = false;
+    fixture.tickFor(milliseconds(300));
+    fixture.receiveFromEntry(fixture.makeOrder("000000000000010a", milliseconds(100), milliseconds(90), 1));
+    fixture.tickFor(milliseconds(100));
+    REQUIRE(fixture.server.starts.empty());
+    REQUIRE(fixture.agent.ledger().records().empty());
+    REQUIRE(fixture.lastReport().events.back().reason == RefusalReason::Unreachable);
+    REQUIRE_FALSE(fixture.reportsAccepting());
+    // A late response shows that it is there.
+    fixture.answerPoll(1);
+    fixture.tickFor(milliseconds(300));
+    REQUIRE(fixture.reportsAccepting());
+}
