The jobs of an entry that has restarted count as active until its former runs must have ended

Found in the review of the limits. Cause: the time counts from the last message of the former incarnation, which may be a heartbeat interval and a delay older than its end, and its runs may last until 1.2 s after that end.

Change: 1.6 s for the jobs of a former incarnation. Clients that wait for such a job are not answered meanwhile, so they lose only that time. The test of this case keeps its check for the longer time.

--- a/src/core/dispatch/coordination.h
+++ b/src/core/dispatch/coordination.h
@@ -33,6 +33,9 @@
     /// The jobs of an entry that is silent and that agents don't hear either count as active for this long. Its runs end within
     /// AgentTiming::coordinatorRunLimit (1.2 s) after it has failed, and it may have been silent for a heartbeat interval then.
     Duration failedEntryTimeout = milliseconds(1400);
+    /// The jobs of the former incarnation of an entry that has restarted count as active for this long after its last message,
+    /// which it may have sent two heartbeat intervals before its end.
+    Duration formerJobsTimeout = milliseconds(1600);
     /// An entry that may have missed lists admits no job for this long, unless it has recent lists from all known entries. By
     /// then the other entries have noticed that it is alive, and have given up the jobs that it has not confirmed.
     Duration admissionHold = seconds(2);
--- a/src/core/dispatch/entry_joined_jobs.cpp
+++ b/src/core/dispatch/entry_joined_jobs.cpp
@@ -24,7 +24,7 @@
     // Agents may have heard the former incarnation for longer than this entry has.
     const TimePoint aliveUntil = std::max(lastHeardAt, entry.lists.namedAt - m_settings.timing.agentTimeout);
     for (const JobKey &job : entry.activeJobs) {
-        entry.formerJobs[job] = aliveUntil + m_settings.timing.coordination.failedEntryTimeout;
+        entry.formerJobs[job] = aliveUntil + m_settings.timing.coordination.formerJobsTimeout;
     }
     entry.activeJobs.clear();
 }
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -390,7 +390,7 @@
     // resubmits to another entry. The new incarnation does not know the job, whose run the agents are still stopping.
     const bool resubmittedBeforeRestart = GENERATE(true, false);
     EntryFixture fixture;
-    const Duration coordinatorTimeout = EntryFixture::settings().timing.coordination.failedEntryTimeout;
+    const Duration coordinatorTimeout = EntryFixture::settings().timing.coordination.formerJobsTimeout;
     fixture.otherReport.activeJobs = {Job1.key()};
     fixture.runFor(seconds(3));
     const TimePoint lastHeardAt = fixture.now;
