A job of which a task runs for another coordinator is not handed on to those that wait for it

Found in the review. Cause: a job that is given up because another coordinator has runs of it was submitted again, for clients that had resubmitted it here or through other entries, as soon as this entry's own runs had stopped: next to the runs of the other coordinator.

Evidence: the new case of entry_dispatch_tests fails without the change; entry_dispatch_tests pass.

--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -450,7 +450,12 @@
     Job closed = std::move(it->second);
     m_jobs.erase(it);
     for (const WaitingClient &client : closed.resubmittedClients) {
-        resubmit(now, client, id);
+        if (closed.runsElsewhere) {
+            m_clientJobs.erase(client.tag);
+            m_clients.answer(client.tag, JobOutcome::GivenUp, closed.reason, Duration(0));
+        } else {
+            resubmit(now, client, id);
+        }
     }
     const Jobs::iterator resubmitted = m_jobs.find(id);
     if (resubmitted == m_jobs.end()) {
--- a/src/core/dispatch/entry_joined_jobs.cpp
+++ b/src/core/dispatch/entry_joined_jobs.cpp
@@ -167,7 +167,7 @@
         if (entry != m_entries.end()) {
             JobStatus::State state = stateAfter(*job.answer);
             if (state == JobStatus::State::Refused) {
-                state = transfer(now, joinedEntry, job.id, state);
+                state = job.runsElsewhere ? JobStatus::State::Transferred : transfer(now, joinedEntry, job.id, state);
             }
             sendToEntry(now, joinedEntry, entry->second, JobStatus{job.id, state});
         }
--- a/src/core/dispatch/entry_runs.cpp
+++ b/src/core/dispatch/entry_runs.cpp
@@ -267,6 +267,7 @@
     }
     if (event.reason == RefusalReason::Duplicate) {
         // Another coordinator has runs of the job, maybe on other servers too.
+        job.runsElsewhere = true;
         finish(now, job, JobOutcome::GivenUp, "runs-elsewhere");
         return;
     }
--- a/src/core/dispatch/job.h
+++ b/src/core/dispatch/job.h
@@ -70,6 +70,8 @@
     /// Clients that resubmitted the job after its answer, while runs were still being stopped. The job is submitted for them
     /// afterwards as their own requests and the configuration of that time have it.
     std::vector<WaitingClient> resubmittedClients;
+    /// Given up because another coordinator has runs of it. Clients that have resubmitted it have to wait for these as well.
+    bool runsElsewhere = false;
     std::vector<Endpoint> joinedEntries; ///< Other entries to notify of the outcome.
     TimePoint receivedAt;
     /// When the request of the first client arrived; earlier than `receivedAt` if another entry coordinated the job at first.
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -1009,6 +1009,25 @@
     REQUIRE(fixture.clients.answers.at(1) == JobOutcome::GivenUp);
 }
 
+TEST_CASE("A job of which a task still runs for another coordinator is not handed on to those that wait for it")
+{
+    EntryFixture fixture;
+    std::shared_ptr<dispatch::JobSpec> spec = std::make_shared<dispatch::JobSpec>(*EntryFixture::makeSpec(milliseconds(300)));
+    spec->steps[0].count = 2;
+    fixture.entry.submit(fixture.now, ClientTag(1), fixture.queue, Job1, spec, seconds(2));
+    fixture.receiveFromEntry(JoinJob{Job1});
+    RunEvent refused = EntryFixture::makeEvent(RunEvent::Kind::Ended, RunEnd::NeverStarted);
+    refused.reason = RefusalReason::Duplicate;
+    fixture.receiveReport({refused});
+    fixture.submit(2, seconds(2), milliseconds(300));
+    RunEvent stopped = EntryFixture::makeEvent(RunEvent::Kind::Ended, RunEnd::Stopped);
+    stopped.run.task.index = 1;
+    fixture.receiveReport({stopped});
+    REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).size() == 1);
+    REQUIRE(fixture.clients.answers.at(2) == JobOutcome::GivenUp);
+    REQUIRE(fixture.links.messagesTo<JobStatus>(OtherEntry.endpoint).back().state == JobStatus::State::Transferred);
+}
+
 TEST_CASE("A cancelled job is not started by the entry that acknowledged its cancellation and has restarted since")
 {
     const bool cancelledAtOther = GENERATE(false, true);
