The clock of a server is read from polls and announcements only

Found in the review. Cause: a response to a start or a stop was taken as a reading of the server's clock, whichever incarnation it came from.

Change: these callbacks have no clock any more.

Evidence: agent_dispatch_tests, concurrent_run_tests, run_lifetime_tests pass.

--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -132,8 +132,8 @@
     /// Handles the deregistration of a backend server.
     void onServerLeft(TimePoint now, const std::string &serverId);
 
-    void onStartAnswered(TimePoint now, const RunRef &run, StartAnswer answer, std::optional<ServerTime> clock);
-    void onStopAnswered(TimePoint now, const RunRef &run, bool acknowledged, std::optional<ServerTime> clock);
+    void onStartAnswered(TimePoint now, const RunRef &run, StartAnswer answer);
+    void onStopAnswered(TimePoint now, const RunRef &run, bool acknowledged);
     void onPollAnswered(TimePoint now, std::uint64_t number, const std::optional<Inventory> &inventory, PollFailure failure);
     void onTick(TimePoint now);
 
--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -318,7 +318,7 @@
     raiseToken(now, "the server has seen a higher one");
 }
 
-void AgentDispatch::onStartAnswered(TimePoint now, const RunRef &run, StartAnswer answer, std::optional<ServerTime> clock)
+void AgentDispatch::onStartAnswered(TimePoint now, const RunRef &run, StartAnswer answer)
 {
     if (m_startsInFlight > 0) {
         --m_startsInFlight;
@@ -328,9 +328,6 @@
         startQueuedRuns(now);
         return;
     }
-    if (clock) {
-        m_clock.observe(*clock, now);
-    }
     record->startsInFlight -= record->startsInFlight > 0 ? 1 : 0;
     const bool retransmitted = record->startAttempts > 1;
     if (retransmitted && answer == StartAnswer::RunNumberUsed) {
@@ -415,11 +412,8 @@
     forgetIdleIncarnation();
 }
 
-void AgentDispatch::onStopAnswered(TimePoint now, const RunRef &run, bool acknowledged, std::optional<ServerTime> clock)
+void AgentDispatch::onStopAnswered(TimePoint now, const RunRef &run, bool acknowledged)
 {
-    if (clock) {
-        m_clock.observe(*clock, now);
-    }
     m_stopsInFlight -= m_stopsInFlight > 0 ? 1 : 0;
     if (!acknowledged) {
         // Repeated by the next tick: the call may not have been sent because all connections are in use.
