An entry that has restarted does not start a job whose former runs may not have ended

Found in the review. Cause: the jobs of a former incarnation are known to the other entries only, which keep them for 1.6 s. The restarted entry itself admits jobs as soon as it has recent lists of all others: a client whose connection broke before the kill may reach it while a run of the former incarnation, whose stop is late, is still active.

Change: the heartbeat to an entry that has restarted names the jobs of its former incarnations that may still have runs. It has such a list before it admits a job, as it waits for a list that answers a message of its own. Nothing is added to heartbeats otherwise.

Evidence: the new case of entry_dispatch_tests fails without the check in both variants. dispatch_codec_tests, concurrent_run_tests, run_lifetime_tests pass; dispatch_tests and deadly_task_tests but for their known red cases.

--- a/src/adapters/dispatch_codec.cpp
+++ b/src/adapters/dispatch_codec.cpp
@@ -144,6 +144,9 @@
         for (const JobKey &job : from.activeJobs) {
             report->add_active_jobs(job.value());
         }
+        for (const JobKey &job : from.formerJobs) {
+            report->add_former_jobs(job.value());
+        }
         report->set_uptime_us(from.uptime.count());
         report->set_confirmed_list_us(from.confirmedList.time_since_epoch().count());
         report->set_names_cancelled_jobs(from.cancelledJobs.has_value());
@@ -342,6 +345,9 @@
         for (const std::uint64_t job : from.entry().active_jobs()) {
             report.activeJobs.emplace_back(job);
         }
+        for (const std::uint64_t job : from.entry().former_jobs()) {
+            report.formerJobs.emplace_back(job);
+        }
         report.uptime = Duration(from.entry().uptime_us());
         report.confirmedList = TimePoint(Duration(from.entry().confirmed_list_us()));
         if (from.entry().names_cancelled_jobs()) {
--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -229,6 +229,10 @@
     if (refuseCrashingJob(now, client, id, *queue)) {
         return;
     }
+    if (mayHaveOwnFormerRuns(now, id)) {
+        m_clients.answer(client, JobOutcome::GivenUp, "former-runs", Duration(0));
+        return;
+    }
     if (const Endpoint *remote = remoteCoordinator(now, id)) {
         joinRemoteJob(now, *remote, waiting, id);
         return;
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -232,6 +232,8 @@
         /// Jobs of former incarnations, whose runs the agents may not have stopped yet, with the time until which the entry still
         /// counts as their coordinator.
         std::unordered_map<JobKey, TimePoint, IdHash> formerJobs;
+        /// Jobs of former incarnations of this entry that may still have runs, as the other entry's latest list has them.
+        std::unordered_set<JobKey, IdHash> ownFormerJobs;
         EntryListState entryList;
         bool fromSettings = false; ///< Configured entries never expire.
         TimePoint heartbeatSentAt; ///< Tracked apart from other messages, as only heartbeats list the active jobs.
@@ -395,6 +397,10 @@
     /// Gives up a job that another entry may start. Returns whether it did.
     bool giveUpIfUnconfirmed(TimePoint now, Job &job);
     /// Takes over the list of active jobs of another entry, unless a later one has arrived before.
+    /// Whether another entry knows that a former incarnation of this one coordinated the job, and that it may still have runs.
+    bool mayHaveOwnFormerRuns(TimePoint now, const JobId &id) const;
+    /// The jobs of former incarnations of another entry that may still have runs.
+    static std::vector<JobKey> formerJobs(TimePoint now, const EntryPeer &entry);
     void receiveActiveJobs(TimePoint now, const Envelope &envelope, const EntryReport &report, EntryPeer &entry);
     void receiveLiveEntries(TimePoint now, const std::vector<Endpoint> &entries);
     /// Keeps the active jobs of the previous incarnation of an entry, which was last heard at the given time.
--- a/src/core/dispatch/entry_joined_jobs.cpp
+++ b/src/core/dispatch/entry_joined_jobs.cpp
@@ -35,6 +35,25 @@
     return it != entry.formerJobs.end() && now < it->second;
 }
 
+std::vector<JobKey> EntryDispatch::formerJobs(TimePoint now, const EntryPeer &entry)
+{
+    std::vector<JobKey> jobs;
+    for (const std::pair<const JobKey, TimePoint> &job : entry.formerJobs) {
+        if (now < job.second) {
+            jobs.push_back(job.first);
+        }
+    }
+    return jobs;
+}
+
+bool EntryDispatch::mayHaveOwnFormerRuns(TimePoint now, const JobId &id) const
+{
+    return std::any_of(m_entries.begin(), m_entries.end(), [&](const std::pair<const Endpoint, EntryPeer> &entry) {
+        return entry.second.ownFormerJobs.count(id.key()) > 0
+            && now - entry.second.lists.receivedAt < m_settings.timing.coordination.formerJobsTimeout;
+    });
+}
+
 void EntryDispatch::joinRemoteJob(TimePoint now, const Endpoint &coordinator, const WaitingClient &client, const JobId &id)
 {
     ++m_counters.joined;
--- a/src/core/dispatch/entry_peers.cpp
+++ b/src/core/dispatch/entry_peers.cpp
@@ -101,6 +101,7 @@
         return;
     }
     entry.activeJobs = std::unordered_set<JobKey, IdHash>(report.activeJobs.begin(), report.activeJobs.end());
+    entry.ownFormerJobs = std::unordered_set<JobKey, IdHash>(report.formerJobs.begin(), report.formerJobs.end());
     lists.sentAt = envelope.sentAt;
     lists.receivedAt = now;
     const std::optional<Duration> age = PeerSession::maxAge(envelope, now);
@@ -327,6 +328,7 @@
             entry.heartbeatSentAt = now;
             EntryReport heartbeat = makeHeartbeat(now, entry.entryList, entries);
             heartbeat.activeJobs = jobs;
+            heartbeat.formerJobs = formerJobs(now, entry);
             heartbeat.confirmedList = entry.lists.sentAt;
             heartbeat.uptime = now - m_startedAt;
             heartbeat.sharesCancelledJobs = true;
--- a/src/core/dispatch/messages.h
+++ b/src/core/dispatch/messages.h
@@ -119,6 +119,7 @@
     Duration uptime{0}; ///< How long the sender has been running.
     /// All cancelled jobs that the sender knows, as the receiver has asked for them; absent in most heartbeats.
     std::optional<std::vector<CancelledJob>> cancelledJobs;
+    std::vector<JobKey> formerJobs; ///< Jobs of former incarnations of the receiver that may still have runs.
     bool wantsCancelledJobs = false; ///< The sender has not received this list from the receiver yet.
     bool sharesCancelledJobs = false; ///< The sender answers such requests; false for an entry of a version that doesn't.
 };
--- a/tests/dispatch_codec_tests.cpp
+++ b/tests/dispatch_codec_tests.cpp
@@ -86,6 +86,9 @@
     report.activeJobs = {job.key(), JobId::parse("ffffffffffffffff")->key()};
     envelope.message = report;
     REQUIRE(std::get<EntryReport>(decode(encode(envelope))->message).activeJobs == report.activeJobs);
+    report.formerJobs = {report.activeJobs.back()};
+    envelope.message = report;
+    REQUIRE(std::get<EntryReport>(decode(encode(envelope))->message).formerJobs == report.formerJobs);
 }
 
 TEST_CASE("Cancelled jobs are transmitted with their ages, and an empty list differs from none")
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -1028,6 +1028,30 @@
     REQUIRE(fixture.links.messagesTo<JobStatus>(OtherEntry.endpoint).back().state == JobStatus::State::Transferred);
 }
 
+TEST_CASE("An entry that has restarted does not start a job whose former runs may not have ended")
+{
+    const Duration downtime = GENERATE(Duration(milliseconds(30)), Duration(milliseconds(300)));
+    EntryGroup group;
+    group.submit(1, 1);
+    group.runFor(milliseconds(300));
+    group.remove(1);
+    group.runFor(milliseconds(30));
+    const std::size_t orders = group.startOrders;
+    REQUIRE(orders >= 1);
+    group.runFor(downtime);
+    group.start(1);
+    while (!group.mayAdmit(1)) {
+        group.runFor(milliseconds(15));
+    }
+    group.submit(1, 2);
+    REQUIRE(group.startOrders == orders);
+    REQUIRE(group.answers.at(2) == JobOutcome::GivenUp);
+    group.runFor(milliseconds(1600));
+    group.submit(1, 3);
+    group.runFor(milliseconds(100));
+    REQUIRE(group.startOrders > orders);
+}
+
 TEST_CASE("A cancelled job is not started by the entry that acknowledged its cancellation and has restarted since")
 {
     const bool cancelledAtOther = GENERATE(false, true);
