--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -1052,6 +1052,17 @@
     REQUIRE(group.startOrders > orders);
 }
 
+TEST_CASE("An entry that has just started does not rely on the list of an entry whose former runs may not have ended")
+{
+    // The runs of the other entry's former incarnation last until 1.2 s after its end, and its restart took 0.1 s.
+    EntryFixture fixture;
+    EntryDispatch restarted(EntryFixture::settings(), fixture.links, fixture.clients, fixture.log, fixture.now);
+    EntryReport list;
+    list.uptime = milliseconds(1050);
+    restarted.onMessage(fixture.now, fixture.envelopeFrom(OtherEntry, list));
+    REQUIRE_FALSE(restarted.mayAdmit(fixture.now));
+}
+
 TEST_CASE("A cancelled job is not started by the entry that acknowledged its cancellation and has restarted since")
 {
     const bool cancelledAtOther = GENERATE(false, true);
