--- a/spec/run_lifetime.pml
+++ b/spec/run_lifetime.pml
@@ -23,10 +23,10 @@
  * NOFAULTS: messages of A are at most 0.3 s old, a poll is answered at least every 0.3 s, a start is carried out within 0.2 s, and the server's
  * clock is exact; asserted: no lease expires under a run.
  *
- * Two cases that rules 1 to 4 don't cover: with R=10, B takes J over 1.0 s after the kill, because the connection of its client broke earlier
- * and the list of A counts for 1.2 s after a message sent up to 0.2 s before the kill. With CUT, A goes on, but B has lost it, and the client's
- * connection breaks when J is ordered; the agent asks the server to stop J as unconfirmed. REQUESTLIMIT is a rule for that: LIMIT also
- * applies to the time since the client's request.
+ * Two cases that rules 1 to 4 don't cover. With R=10, B takes J over 1.0 s after the kill, because the connection of its client broke earlier
+ * and the list of A, of up to 0.2 s before the kill, counts for 1.2 s only: it counts for 1.4 s, and for 1.6 s if A has restarted. With CUT, A
+ * goes on, but B has lost it, and the client's connection breaks when J is ordered; the agent asks the server to stop J as unconfirmed. So the
+ * agent applies REQUESTLIMIT as well: LIMIT also counts from the client's request.
  *
  * Not modelled: other knowledge that B has from the lists of A (coordination.pml), requests and confirmations as such, restarts of the server
  * (run.pml), leases that lapse under the runs of C, how long the server takes to kill a run.
