Wire fields and settings for evacuations, restart evidence, demand digests, server speeds and wait limits

Change: the fields with their codec, and settings for placement, admission and evacuations with the former behaviour as default. A factor for remote data that can't be right is ignored with a warning, since the platform provides it. Nothing uses the new fields yet.

--- a/src/adapters/dispatch_codec.cpp
+++ b/src/adapters/dispatch_codec.cpp
@@ -2,6 +2,8 @@
 
 #include "proto/dispatch.pb.h"
 
+#include <algorithm>
+
 namespace cuminscale::dispatch
 {
 
@@ -55,11 +57,23 @@
     }
     to->set_kept_cpu_milli(from.reservedCpuMilli);
     to->set_running_work(from.runningWork);
+    to->set_slowness(from.slowness);
+    to->set_slowness_weight(from.slownessWeight);
+    to->set_evacuated(from.evacuated);
+    to->set_cold_us(from.cold.count());
     for (const std::string &label : from.labels) {
         to->add_labels(label);
     }
 }
 
+void toWire(const Evacuations &from, wire::Evacuations *to)
+{
+    to->set_revision(from.revision);
+    for (const std::string &domain : from.domains) {
+        to->add_domains(domain);
+    }
+}
+
 struct MessageEncoder
 {
     wire::Envelope &to;
@@ -78,6 +92,8 @@
         order->set_start_within_us(from.startWithin.count());
         order->set_requested_at_us(from.requestedAt.time_since_epoch().count());
         order->set_admitted_at_us(from.admittedAt.time_since_epoch().count());
+        order->set_baseline_us(from.baseline.count());
+        order->set_wait_within_us(from.waitWithin.count());
         if (from.payload) {
             order->set_payload(*from.payload);
         }
@@ -107,10 +123,19 @@
         report->set_detached(from.detached);
         report->set_names_live_entries(from.liveEntries.has_value());
         if (from.liveEntries) {
-            for (const Endpoint &entry : *from.liveEntries) {
-                toWire(entry, report->add_live_entries());
+            for (const LiveEntry &entry : *from.liveEntries) {
+                wire::Address *address = report->add_live_entries();
+                toWire(entry.endpoint, address);
+                address->set_incarnation(entry.incarnation.value());
             }
         }
+        report->set_examined(from.examined);
+        for (const JobKey &job : from.formerJobs) {
+            report->add_former_jobs(job.value());
+        }
+        if (from.evacuations.revision > 0) {
+            toWire(from.evacuations, report->mutable_evacuations());
+        }
         for (const RunEvent &event : from.events) {
             toWire(event, report->add_events());
         }
@@ -159,6 +184,15 @@
         }
         report->set_wants_cancelled_jobs(from.wantsCancelledJobs);
         report->set_shares_cancelled_jobs(from.sharesCancelledJobs);
+        if (from.evacuations.revision > 0) {
+            toWire(from.evacuations, report->mutable_evacuations());
+        }
+        for (const QueueDemand &demand : from.demands) {
+            wire::QueueDemand *added = report->add_demands();
+            added->set_queue(demand.queue.value());
+            added->set_usual_cpu_milli(demand.usualCpuMilli);
+            added->set_present_cpu_milli(demand.presentCpuMilli);
+        }
     }
 
     void operator()(const JoinJob &from) const
@@ -237,6 +271,21 @@
     return Resources{from.cpu_milli(), from.memory_mb(), from.accelerators()};
 }
 
+/// Limits what a malformed message can make a process keep.
+constexpr int MaxEvacuatedDomains = 256;
+
+Evacuations decodeEvacuations(const wire::Evacuations &from)
+{
+    Evacuations evacuations;
+    // A set that can't be used as a whole is not used at all.
+    if (from.domains_size() <= MaxEvacuatedDomains) {
+        evacuations.revision = from.revision();
+        evacuations.domains.assign(from.domains().begin(), from.domains().end());
+        std::sort(evacuations.domains.begin(), evacuations.domains.end());
+    }
+    return evacuations;
+}
+
 RunRef MessageDecoder::decodeRunRef(const wire::Run &from)
 {
     return RunRef{TaskRef{decodeJobId(from.job()), 0, from.step(), from.index()}, RunNumber(from.run())};
@@ -256,6 +305,8 @@
     order.startWithin = Duration(from.start_within_us());
     order.requestedAt = TimePoint(Duration(from.requested_at_us()));
     order.admittedAt = TimePoint(Duration(from.admitted_at_us()));
+    order.baseline = Duration(from.baseline_us());
+    order.waitWithin = Duration(from.wait_within_us());
     order.payload = std::make_shared<const std::string>(from.payload());
     for (const wire::OrderedRun &run : from.runs()) {
         order.runs.push_back(OrderedRun{run.index(), RunNumber(run.run())});
@@ -281,6 +332,13 @@
     }
     report.load.reservedCpuMilli = from.load().kept_cpu_milli();
     report.load.runningWork = from.load().running_work();
+    // Agents of former versions don't measure it.
+    if (from.load().slowness_weight() > 0 && from.load().slowness() > 0) {
+        report.load.slowness = from.load().slowness();
+        report.load.slownessWeight = from.load().slowness_weight();
+    }
+    report.load.evacuated = from.load().evacuated();
+    report.load.cold = Duration(from.load().cold_us());
     report.load.labels.assign(from.load().labels().begin(), from.load().labels().end());
     report.ordersSeen = from.orders_seen();
     report.oldestEvent = from.oldest_event();
@@ -288,9 +346,14 @@
     if (from.names_live_entries()) {
         report.liveEntries.emplace();
         for (const wire::Address &entry : from.live_entries()) {
-            report.liveEntries->push_back(decodeEndpoint(entry));
+            report.liveEntries->push_back(LiveEntry{decodeEndpoint(entry), Incarnation(entry.incarnation())});
         }
     }
+    report.examined = from.examined();
+    for (const std::uint64_t job : from.former_jobs()) {
+        report.formerJobs.emplace_back(job);
+    }
+    report.evacuations = decodeEvacuations(from.evacuations());
     for (const wire::RunEvent &event : from.events()) {
         RunEvent decoded;
         decoded.number = event.number();
@@ -358,6 +421,10 @@
         }
         report.wantsCancelledJobs = from.entry().wants_cancelled_jobs();
         report.sharesCancelledJobs = from.entry().shares_cancelled_jobs();
+        report.evacuations = decodeEvacuations(from.entry().evacuations());
+        for (const wire::QueueDemand &demand : from.entry().demands()) {
+            report.demands.push_back(QueueDemand{QueueKey(demand.queue()), demand.usual_cpu_milli(), demand.present_cpu_milli()});
+        }
         return report;
     }
     case wire::Envelope::kJoin:
--- a/src/core/dispatch/agent_coordinators.cpp
+++ b/src/core/dispatch/agent_coordinators.cpp
@@ -274,14 +274,14 @@
     m_links.send(to, envelope);
 }
 
-std::vector<Endpoint> AgentDispatch::liveEntries(TimePoint now) const
+std::vector<LiveEntry> AgentDispatch::liveEntries(TimePoint now) const
 {
-    std::vector<Endpoint> entries;
+    std::vector<LiveEntry> entries;
     for (const Coordinators::value_type &entry : m_coordinators) {
         const Coordinator &coordinator = entry.second;
         if (coordinator.session.hasReceivedMessage()
             && now - coordinator.lastKnownAliveAt < m_settings.timing.coordinatorTimeout) {
-            entries.push_back(entry.first);
+            entries.push_back(LiveEntry{entry.first, coordinator.session.incarnation()});
         }
     }
     return entries;
--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -228,7 +228,7 @@
     /// coordinator does the same unless it has failed.
     void stopUnconfirmedRuns(TimePoint now);
     /// The entries that runs may be started for at present.
-    std::vector<Endpoint> liveEntries(TimePoint now) const;
+    std::vector<LiveEntry> liveEntries(TimePoint now) const;
     /// Time on the server's clock after which it has to reject a start request that is sent now; nullopt if such a request would
     /// have too little time to take effect.
     std::optional<ServerTime> startDeadline(TimePoint now, const RunRecord &record) const;
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -70,12 +70,25 @@
     std::size_t maxEndedJobs = 20000;
 };
 
+/// Which work is refused first under overload.
+enum class AdmissionPolicy : std::uint8_t {
+    LargestFirst, ///< That of the queues with the highest demand.
+    UsualShare, ///< What a queue asks for beyond its usual share.
+};
+
 struct EntrySettings
 {
     ProcessId self;
     std::string domain;
     std::vector<Endpoint> entries; ///< Seed addresses for discovering the other entries; may include this entry.
     Duration defaultDeadline = seconds(30); ///< For requests without a deadline.
+    /// Run time of a task away from the rack of its data, as a multiple of that near it.
+    double remoteDataFactor = 1.5;
+    bool followsEvacuations =
+        false; ///< Whether operators evacuate failure domains; no job is admitted before their state is known.
+    AdmissionPolicy admission = AdmissionPolicy::LargestFirst;
+    std::map<std::string, double> queueWeights; ///< Weights of queues for AdmissionPolicy::UsualShare; 1 for the others.
+    std::size_t maxHeldJobs = 512; ///< Jobs that wait until this entry may admit jobs; 0 to answer them at once.
     EntryTiming timing;
 };
 
@@ -402,7 +415,7 @@
     /// The jobs of former incarnations of another entry that may still have runs.
     static std::vector<JobKey> formerJobs(TimePoint now, const EntryPeer &entry);
     void receiveActiveJobs(TimePoint now, const Envelope &envelope, const EntryReport &report, EntryPeer &entry);
-    void receiveLiveEntries(TimePoint now, const std::vector<Endpoint> &entries);
+    void receiveLiveEntries(TimePoint now, const std::vector<LiveEntry> &entries);
     /// Keeps the active jobs of the previous incarnation of an entry, which was last heard at the given time.
     void keepFormerJobs(TimePoint now, TimePoint lastHeardAt, EntryPeer &entry) const;
     /// Whether a former incarnation of the entry may still have runs of the job.
--- a/src/core/dispatch/entry_peers.cpp
+++ b/src/core/dispatch/entry_peers.cpp
@@ -80,16 +80,18 @@
     }
 }
 
-void EntryDispatch::receiveLiveEntries(TimePoint now, const std::vector<Endpoint> &entries)
+void EntryDispatch::receiveLiveEntries(TimePoint now, const std::vector<LiveEntry> &entries)
 {
-    addEntries(now, entries);
-    for (const Endpoint &name : entries) {
-        const std::map<Endpoint, EntryPeer>::iterator it = m_entries.find(name);
+    bool named = false;
+    for (const LiveEntry &live : entries) {
+        addEntries(now, {live.endpoint});
+        named = named || live.endpoint == m_settings.self.endpoint;
+        const std::map<Endpoint, EntryPeer>::iterator it = m_entries.find(live.endpoint);
         if (it != m_entries.end()) {
             m_coordination.recordName(now, it->second.lists);
         }
     }
-    m_coordination.recordNames(now, std::find(entries.begin(), entries.end(), m_settings.self.endpoint) != entries.end());
+    m_coordination.recordNames(now, named);
 }
 
 void EntryDispatch::receiveActiveJobs(TimePoint now, const Envelope &envelope, const EntryReport &report, EntryPeer &entry)
--- a/src/core/dispatch/messages.h
+++ b/src/core/dispatch/messages.h
@@ -40,6 +40,9 @@
     std::vector<OrderedRun> runs;
     TimePoint requestedAt; ///< When the request of the job's client arrived, on the sender's clock.
     TimePoint admittedAt; ///< Since when the sender lists the job as active, on its clock.
+    Duration baseline{0}; ///< Expected run time on a server of ordinary speed; 0 if unknown.
+    /// How long waiting at the receiver pays. A task that still waits then is handed back; 0 for no limit.
+    Duration waitWithin{0};
 };
 
 /// Order of an entry to an agent to stop runs and to remove queued ones.
@@ -78,6 +81,32 @@
     std::vector<QueueKey> suspectQueues; ///< The queues of the suspects, each once.
 };
 
+/// The evacuated failure domains, as of a revision of the store. Of two, the one with the higher revision is valid.
+struct Evacuations
+{
+    std::uint64_t revision = 0; ///< 0 if none is known.
+    std::vector<std::string> domains; ///< Sorted.
+
+    bool operator==(const Evacuations &) const = default;
+};
+
+/// Demand of an entry's clients for one queue, in thousandths of a core.
+struct QueueDemand
+{
+    QueueKey queue;
+    double usualCpuMilli = 0; ///< Mean over tens of seconds.
+    double presentCpuMilli = 0; ///< Mean over the last seconds.
+};
+
+/// An entry that an agent starts runs for.
+struct LiveEntry
+{
+    Endpoint endpoint;
+    Incarnation incarnation; ///< The one that the agent has heard last; zero if it does not say.
+
+    bool operator==(const LiveEntry &) const = default;
+};
+
 /// An entry, as others name it.
 struct EntryAddress
 {
@@ -98,7 +127,12 @@
     /// The agent has chosen other entries and sends this one no more reports, except on runs that it orders.
     bool detached = false;
     /// The entries that the agent starts runs for, because it knows them to be running; absent in most reports.
-    std::optional<std::vector<Endpoint>> liveEntries;
+    std::optional<std::vector<LiveEntry>> liveEntries;
+    bool examined = false; ///< The agent has listed all runs of its server since its own start.
+    /// Jobs with runs here that were started for another incarnation of their coordinator than the one in `liveEntries`, or for
+    /// a coordinator that is unknown.
+    std::vector<JobKey> formerJobs;
+    Evacuations evacuations;
 };
 
 /// A job that must not start any more because a client has cancelled it.
@@ -122,6 +156,8 @@
     std::vector<JobKey> formerJobs; ///< Jobs of former incarnations of the receiver that may still have runs.
     bool wantsCancelledJobs = false; ///< The sender has not received this list from the receiver yet.
     bool sharesCancelledJobs = false; ///< The sender answers such requests; false for an entry of a version that doesn't.
+    Evacuations evacuations;
+    std::vector<QueueDemand> demands; ///< By queue, largest first; empty in most heartbeats.
 };
 
 /// Request of an entry to the entry that coordinates a job: asks for the state of the job now, and again when the job ends.
--- a/src/core/dispatch/types.h
+++ b/src/core/dispatch/types.h
@@ -197,6 +197,11 @@
     QueuedCpu queued; ///< CPU demand of the tasks that are queued at the agent.
     std::int64_t reservedCpuMilli = 0; ///< Part of the free CPU that is reserved for the most urgent tasks.
     CoreTime runningWork = 0; ///< Estimated remaining work of the booked runs.
+    /// Geometric mean of run times over the expected ones on a server of ordinary speed, over the runs of all entries.
+    double slowness = 1.0;
+    double slownessWeight = 0; ///< Number of runs that the mean stands for; 0 if there are none.
+    bool evacuated = false; ///< The failure domain of the server is evacuated.
+    Duration cold{0}; ///< How much longer the server is slow after its start.
     std::vector<std::string> labels;
 };
 
--- a/src/daemon/dispatch_process.cpp
+++ b/src/daemon/dispatch_process.cpp
@@ -130,6 +130,9 @@
     m_log.write(LogLevel::Info, "start",
                 "incarnation=" + std::to_string(m_self.incarnation.value()) + " peer=" + toString(m_self.endpoint)
                     + " domain=" + m_settings.domain + " entries=" + std::to_string(m_settings.entries.size()));
+    for (const std::string &warning : m_settings.warnings) {
+        m_log.write(LogLevel::Warning, "setting-ignored", "reason=\"" + warning + "\"");
+    }
     m_link->start();
     waitForSignals();
     scheduleTick();
--- a/src/daemon/dispatch_settings.cpp
+++ b/src/daemon/dispatch_settings.cpp
@@ -15,6 +15,11 @@
 {
 
 constexpr std::uint64_t MaxMs = 600'000;
+constexpr double MaxRemoteDataFactor = 100.0;
+constexpr double MinQueueWeight = 0.001;
+constexpr double MaxQueueWeight = 1000.0;
+/// Each held job occupies a client's connection and up to 4,000 bytes of payload.
+constexpr std::uint64_t MaxHeldJobs = 4096;
 
 leaf::result<Endpoint> readAddress(const JsonObject &object, std::string_view key)
 {
@@ -52,11 +57,49 @@
     return Duration(milliseconds(ms));
 }
 
+/// Reads the weights of queues, by name.
+leaf::result<std::map<std::string, double>> readWeights(const JsonObject &object)
+{
+    std::map<std::string, double> weights;
+    for (const json::key_value_pair &item : object.fields()) {
+        const std::string name(item.key());
+        BOOST_LEAF_ASSIGN(weights[name], object.fraction(name, 1.0, MinQueueWeight, MaxQueueWeight));
+    }
+    return weights;
+}
+
+/// Reads what decides on the admission and placement of jobs at an entry.
+leaf::result<void> readDispatchPolicies(const JsonObject &root, DispatchSettings &settings)
+{
+    BOOST_LEAF_AUTO(placement, root.object("placement"));
+    BOOST_LEAF_CHECK(placement.allow({"remote_data_factor"}));
+    const double factor = settings.remoteDataFactor;
+    settings.remoteDataFactor =
+        leaf::try_handle_all([&]() { return placement.fraction("remote_data_factor", factor, 1.0, MaxRemoteDataFactor); },
+                             [&](const JsonError &e) {
+                                 settings.warnings.push_back(e.path + ": " + e.reason);
+                                 return factor;
+                             },
+                             [factor]() { return factor; });
+    BOOST_LEAF_AUTO(admission, root.object("admission"));
+    BOOST_LEAF_CHECK(admission.allow({"policy", "weights", "hold_jobs"}));
+    BOOST_LEAF_AUTO(policy, admission.string("policy", "largest-first"));
+    if (policy != "largest-first" && policy != "usual-share") {
+        return admission.fail("policy", "must be \"largest-first\" or \"usual-share\"");
+    }
+    settings.admission =
+        policy == "usual-share" ? dispatch::AdmissionPolicy::UsualShare : dispatch::AdmissionPolicy::LargestFirst;
+    BOOST_LEAF_AUTO(weights, admission.object("weights"));
+    BOOST_LEAF_ASSIGN(settings.queueWeights, readWeights(weights));
+    BOOST_LEAF_ASSIGN(settings.maxHeldJobs, admission.integer("hold_jobs", settings.maxHeldJobs, 0, MaxHeldJobs));
+    return {};
+}
+
 leaf::result<DispatchSettings> readRoot(const JsonObject &root)
 {
     DispatchSettings settings;
-    BOOST_LEAF_CHECK(
-        root.allow({"role", "node", "failure_domain", "peer", "metrics", "store", "clients", "server", "stop_grace_ms", "log"}));
+    BOOST_LEAF_CHECK(root.allow({"role", "node", "failure_domain", "peer", "metrics", "store", "clients", "server",
+                                 "stop_grace_ms", "log", "placement", "admission", "evacuation"}));
     BOOST_LEAF_AUTO(role, root.requiredString("role"));
     if (role != "job-entry" && role != "job-agent") {
         return root.fail("role", "must be \"job-entry\" or \"job-agent\"");
@@ -82,6 +125,7 @@
         BOOST_LEAF_CHECK(clients.allow({"listen", "ready_listen"}));
         BOOST_LEAF_ASSIGN(settings.clientsListen, readAddress(clients, "listen"));
         BOOST_LEAF_ASSIGN(settings.readyListen, readAddress(clients, "ready_listen"));
+        BOOST_LEAF_CHECK(readDispatchPolicies(root, settings));
     } else {
         BOOST_LEAF_AUTO(server, root.object("server"));
         BOOST_LEAF_CHECK(server.allow({"announce_listen", "address", "service", "lease_ms"}));
@@ -90,6 +134,9 @@
         BOOST_LEAF_ASSIGN(settings.service, server.requiredString("service"));
         BOOST_LEAF_ASSIGN(settings.maxLease, readDuration(server, "lease_ms", settings.maxLease));
     }
+    BOOST_LEAF_AUTO(evacuation, root.object("evacuation"));
+    BOOST_LEAF_CHECK(evacuation.allow({"follow"}));
+    BOOST_LEAF_ASSIGN(settings.followsEvacuations, evacuation.boolean("follow", settings.followsEvacuations));
     BOOST_LEAF_ASSIGN(settings.stopGrace, readDuration(root, "stop_grace_ms", settings.stopGrace));
     BOOST_LEAF_AUTO(log, root.object("log"));
     BOOST_LEAF_CHECK(log.allow({"level"}));
--- a/src/daemon/dispatch_settings.h
+++ b/src/daemon/dispatch_settings.h
@@ -2,9 +2,11 @@
 /// with comments; unknown keys and invalid values are errors. daemon/settings_file.h has the settings of the other processes.
 #pragma once
 
+#include "core/dispatch/entry_dispatch.h"
 #include "core/settings.h"
 #include "daemon/settings_file.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -31,6 +33,12 @@
     Duration maxLease = seconds(1); ///< Agents: upper bound of the lease duration, as set by the platform.
     Duration stopGrace = seconds(6); ///< Time from SIGTERM until the platform kills the process.
     std::string logLevel = "info";
+    double remoteDataFactor = 1.5; ///< Entries: run time of a task away from the rack of its data, as a multiple.
+    bool followsEvacuations = false; ///< Whether operators evacuate failure domains.
+    dispatch::AdmissionPolicy admission = dispatch::AdmissionPolicy::LargestFirst; ///< Entries.
+    std::map<std::string, double> queueWeights; ///< Entries: by queue; 1 for the others.
+    std::size_t maxHeldJobs = 512; ///< Entries: jobs that wait until the entry may admit jobs.
+    std::vector<std::string> warnings; ///< Values that are ignored, each with its key and the reason.
 };
 
 /// Whether a settings text is for a dispatch process: its role begins with "job-".
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -30,6 +30,11 @@
     entry.self = m_self;
     entry.domain = settings.domain;
     entry.entries = settings.entries;
+    entry.remoteDataFactor = settings.remoteDataFactor;
+    entry.followsEvacuations = settings.followsEvacuations;
+    entry.admission = settings.admission;
+    entry.queueWeights = settings.queueWeights;
+    entry.maxHeldJobs = settings.maxHeldJobs;
     m_dispatch = std::make_unique<dispatch::EntryDispatch>(entry, *m_link, m_gateway, m_log, now());
     m_dispatch->onNewerConfig = [this](const dispatch::ConfigBlob &config) {
         applyConfig(config.document, "peer");
--- a/tests/dispatch_codec_tests.cpp
+++ b/tests/dispatch_codec_tests.cpp
@@ -121,7 +121,7 @@
     Envelope envelope = sampleReport();
     envelope.confirmedLists = TimePoint(seconds(6));
     REQUIRE_FALSE(std::get<AgentReport>(decode(encode(envelope))->message).liveEntries);
-    const std::vector<Endpoint> live{Endpoint{0x0A000002, 7000}};
+    const std::vector<LiveEntry> live{LiveEntry{Endpoint{0x0A000002, 7000}, Incarnation(77)}};
     std::get<AgentReport>(envelope.message).liveEntries = live;
     REQUIRE(std::get<AgentReport>(decode(encode(envelope))->message).liveEntries == live);
     REQUIRE(decode(encode(envelope))->confirmedLists == TimePoint(seconds(6)));
@@ -179,3 +179,46 @@
         REQUIRE_FALSE(parseTaskRef(text));
     }
 }
+
+TEST_CASE("The state that entries and agents share about the fleet is transmitted")
+{
+    // A field that is not transmitted would leave its receiver with "unknown", which hides the loss.
+    const Evacuations evacuations{42, {"d1", "d2"}};
+    Envelope envelope = sampleReport();
+    AgentReport &sent = std::get<AgentReport>(envelope.message);
+    sent.examined = true;
+    sent.formerJobs = {JobKey(5), JobKey(6)};
+    sent.evacuations = evacuations;
+    sent.load.slowness = 1.7;
+    sent.load.slownessWeight = 30;
+    sent.load.evacuated = true;
+    sent.load.cold = milliseconds(250);
+    const AgentReport report = std::get<AgentReport>(decode(encode(envelope))->message);
+    REQUIRE(report.examined);
+    REQUIRE(report.formerJobs == sent.formerJobs);
+    REQUIRE(report.evacuations == evacuations);
+    REQUIRE(report.load.slowness == 1.7);
+    REQUIRE(report.load.slownessWeight == 30);
+    REQUIRE(report.load.evacuated);
+    REQUIRE(report.load.cold == milliseconds(250));
+
+    EntryReport heartbeat;
+    heartbeat.evacuations = evacuations;
+    heartbeat.demands = {QueueDemand{QueueKey(7), 1000.0, 2500.0}};
+    envelope.message = heartbeat;
+    const EntryReport decoded = std::get<EntryReport>(decode(encode(envelope))->message);
+    REQUIRE(decoded.evacuations == evacuations);
+    REQUIRE(decoded.demands.size() == 1);
+    REQUIRE(decoded.demands.front().queue == QueueKey(7));
+    REQUIRE(decoded.demands.front().usualCpuMilli == 1000.0);
+    REQUIRE(decoded.demands.front().presentCpuMilli == 2500.0);
+
+    StartOrder order;
+    order.job = *JobId::parse("5c0e7a21d94b36f8");
+    order.baseline = milliseconds(60);
+    order.waitWithin = milliseconds(40);
+    envelope.message = order;
+    const StartOrder start = std::get<StartOrder>(decode(encode(envelope))->message);
+    REQUIRE(start.baseline == milliseconds(60));
+    REQUIRE(start.waitWithin == milliseconds(40));
+}
--- a/tests/dispatch_settings_tests.cpp
+++ b/tests/dispatch_settings_tests.cpp
@@ -58,3 +58,37 @@
     REQUIRE_FALSE(isDispatchSettings(R"({"role": "entry"})"));
     REQUIRE_FALSE(isDispatchSettings("not json"));
 }
+
+TEST_CASE("Settings of admission, placement and evacuations are read, and have the former behaviour as default")
+{
+    SettingsError error;
+    const std::optional<DispatchSettings> defaults = parseDispatchSettings(Entry, error);
+    REQUIRE(defaults);
+    REQUIRE(defaults->remoteDataFactor == 1.5);
+    REQUIRE_FALSE(defaults->followsEvacuations);
+    REQUIRE(defaults->admission == dispatch::AdmissionPolicy::LargestFirst);
+    std::string text = Entry;
+    text.insert(text.find("\"node\""), R"("placement": {"remote_data_factor": 3}, "evacuation": {"follow": true},
+        "admission": {"policy": "usual-share", "weights": {"q": 2}, "hold_jobs": 9}, )");
+    const std::optional<DispatchSettings> settings = parseDispatchSettings(text, error);
+    REQUIRE(settings);
+    REQUIRE(settings->remoteDataFactor == 3.0);
+    REQUIRE(settings->followsEvacuations);
+    REQUIRE(settings->admission == dispatch::AdmissionPolicy::UsualShare);
+    REQUIRE(settings->queueWeights.at("q") == 2.0);
+    REQUIRE(settings->maxHeldJobs == 9);
+}
+
+TEST_CASE("A factor for remote data that can't be right is ignored with a warning")
+{
+    // The platform provides the factor: a wrong one must not stop the service.
+    for (const char *factor : {"-1", "0", "1e9", "\"2\""}) {
+        std::string text = Entry;
+        text.insert(text.find("\"node\""), std::string(R"("placement": {"remote_data_factor": )") + factor + "}, ");
+        SettingsError error;
+        const std::optional<DispatchSettings> settings = parseDispatchSettings(text, error);
+        REQUIRE(settings);
+        REQUIRE(settings->remoteDataFactor == 1.5);
+        REQUIRE(settings->warnings.size() == 1);
+    }
+}
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -345,7 +345,7 @@
         report.liveEntries.emplace();
         for (std::size_t other = 0; other < Entries; ++other) {
             if (m_nodes[other]->dispatch && !m_nodes[other]->cut) {
-                report.liveEntries->push_back(endpoint(other));
+                report.liveEntries->push_back(LiveEntry{endpoint(other), Incarnation()});
             }
         }
         dispatch::Envelope envelope;
@@ -957,7 +957,8 @@
     while (fixture.now < end) {
         fixture.now += milliseconds(15);
         AgentReport report = fixture.makeReport();
-        report.liveEntries = std::vector<Endpoint>{Self.endpoint, OtherEntry.endpoint};
+        report.liveEntries = std::vector<LiveEntry>{LiveEntry{Self.endpoint, Self.incarnation},
+                                                    LiveEntry{OtherEntry.endpoint, OtherEntry.incarnation}};
         fixture.entry.onMessage(fixture.now, fixture.envelopeFrom(Agent, std::move(report)));
         if (confirming) {
             fixture.otherReport.confirmedList = fixture.now;
