Evacuation of failure domains: entries and agents follow the operators' keys

Cause: operators evacuate a failure domain by a key op/evacuate/ZONE; nothing read it, so tasks were still placed and started there.

Change: with evacuation.follow the store client reads and watches the prefix op/ and delivers the evacuated zones with the store revision (EvacuationKeys). Entries and agents keep the set with the highest revision (EvacuationState), and pass it on in heartbeats and reports. An entry admits no job before it knows a set, and places nothing in an evacuated domain. An agent of the domain refuses orders and hands queued tasks back with RefusalReason::Draining; active runs and start requests that may have begun go on. Tasks of an agent that restarts there are placed elsewhere at once: ServerLoad::evacuated says that it would accept orders otherwise. The end of a server in an evacuated domain does not count as a crash under its tasks. Isolation servers are chosen among the others.

--- a/src/core/dispatch/agent_coordinators.cpp
+++ b/src/core/dispatch/agent_coordinators.cpp
@@ -40,6 +40,7 @@
         coordinator.sentUpTo = 0;
         coordinator.lastEventNumber = m_removedEventNumber;
         coordinator.ordersSeen = 0;
+        coordinator.evacuationsSent = 0;
     }
     if (const std::optional<Duration> age = PeerSession::maxAge(envelope, now)) {
         coordinator.lastKnownAliveAt = std::max(coordinator.lastKnownAliveAt, now - *age);
@@ -59,6 +60,7 @@
         handleStopOrder(now, envelope.from, *stop);
     } else if (const EntryReport *report = std::get_if<EntryReport>(&envelope.message)) {
         coordinator.domain = report->domain;
+        adoptEvacuations(now, from, report->evacuations);
         for (const EntryAddress &entry : report->entries) {
             addEntries(now, {entry.endpoint});
             const Coordinators::iterator known = m_coordinators.find(entry.endpoint);
@@ -244,6 +246,7 @@
     report.ordersSeen = coordinator.ordersSeen;
     report.load.accepting = accepting(now);
     report.load.draining = m_draining || m_shuttingDown;
+    report.load.evacuated = evacuated() && serverUsable(now);
     report.load.suspect = m_progress.suspect(now);
     report.load.onProbation = m_progress.onProbation();
     report.load.labels = m_labels;
@@ -257,6 +260,11 @@
         coordinator.liveEntriesSentAt = now;
         report.liveEntries = liveEntries(now);
     }
+    // A report may be lost, so the set is repeated with the live entries.
+    if (report.liveEntries || coordinator.evacuationsSent != m_evacuations.valid().revision) {
+        coordinator.evacuationsSent = m_evacuations.valid().revision;
+        report.evacuations = m_evacuations.valid();
+    }
     report.crashes = m_crashReports.unconfirmed(now, coordinator.session.echoed());
     if (!report.events.empty()) {
         coordinator.sentUpTo = std::max(coordinator.sentUpTo, report.events.back().number);
--- a/src/core/dispatch/agent_dispatch.cpp
+++ b/src/core/dispatch/agent_dispatch.cpp
@@ -39,7 +39,12 @@
     }
 }
 
-bool AgentDispatch::accepting(TimePoint now) const noexcept
+bool AgentDispatch::accepting(TimePoint now) const
+{
+    return serverUsable(now) && !evacuated();
+}
+
+bool AgentDispatch::serverUsable(TimePoint now) const noexcept
 {
     return m_serverIncarnation && m_reconciled && m_reachable && !m_draining && !m_shuttingDown && capacityKnown(now);
 }
@@ -49,9 +54,9 @@
     return m_capacityValidUntil && m_clock.known() && m_clock.lowerBound(now) < *m_capacityValidUntil;
 }
 
-RefusalReason AgentDispatch::refusalFor(TimePoint now, const Resources &need) const noexcept
+RefusalReason AgentDispatch::refusalFor(TimePoint now, const Resources &need) const
 {
-    if (m_draining || m_shuttingDown) {
+    if (m_draining || m_shuttingDown || evacuated()) {
         return RefusalReason::Draining;
     }
     if (!m_serverIncarnation || !m_reconciled || !capacityKnown(now)) {
@@ -285,6 +290,7 @@
 {
     RunRecord copy = record;
     ++m_counters.runsRefused;
+    m_counters.runsRefusedEvacuated += reason == RefusalReason::Draining && evacuated() ? 1 : 0;
     recordEnd(now, copy, RunEnd::NeverStarted, reason, false);
 }
 
--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -5,6 +5,7 @@
 #include "core/dispatch/coordination.h"
 #include "core/dispatch/crash_history.h"
 #include "core/dispatch/entry_selection.h"
+#include "core/dispatch/evacuation_state.h"
 #include "core/dispatch/latency_histogram.h"
 #include "core/dispatch/peer_session.h"
 #include "core/dispatch/run_ledger.h"
@@ -84,6 +85,7 @@
     std::string service; ///< The service of the backend server; announcements of others are ignored.
     std::vector<Endpoint> entries; ///< Initial entries; their reports contain the addresses of further ones.
     EntrySelectionLimits attachedEntries;
+    bool followsEvacuations = false; ///< Whether operators evacuate failure domains.
     /// Initial fencing token, from the wall clock in milliseconds, so that it exceeds the tokens of earlier incarnations.
     FencingToken firstToken;
     AgentTiming timing;
@@ -102,6 +104,7 @@
     /// Runs refused by the agent or the server, or cancelled while queued; orders refused on arrival for their age are not
     /// counted.
     std::uint64_t runsRefused = 0;
+    std::uint64_t runsRefusedEvacuated = 0; ///< Of these, the runs refused because the failure domain is evacuated.
     std::uint64_t startsUnanswered = 0; ///< Runs whose start requests got no usable answer.
     std::uint64_t startsRepeated = 0; ///< Start requests retransmitted.
     std::uint64_t leasesLimited = 0; ///< Polls that extended the lease by less than its duration, because of a run's limit.
@@ -116,7 +119,8 @@
 /// messages and responses.
 ///
 /// agent_dispatch.cpp implements start and stop orders and the queue, agent_server.cpp the protocol with the backend server
-/// (starts, stops, polls, leases and fencing tokens), and agent_coordinators.cpp the exchange of messages with the entries.
+/// (starts, stops, polls, leases and fencing tokens), agent_evacuation.cpp the evacuation of its failure domain, and
+/// agent_coordinators.cpp the exchange of messages with the entries.
 class AgentDispatch
 {
 public:
@@ -146,6 +150,12 @@
         return m_config;
     }
 
+    /// The evacuated failure domains, as received from the entries.
+    const Evacuations &evacuations() const noexcept
+    {
+        return m_evacuations.valid();
+    }
+
     /// Refuses new and queued tasks; tasks that have been started continue.
     void shutDown(TimePoint now);
 
@@ -196,6 +206,7 @@
         TimePoint confirmedLists; ///< As in Envelope, on the entry's clock.
         Duration clockOffset{0}; ///< Upper bound of the entry's clock less this process's clock.
         TimePoint liveEntriesSentAt; ///< When a report last named the live entries.
+        std::uint64_t evacuationsSent = 0; ///< Revision of the evacuations in the latest report with them.
         TimePoint reportDueAt; ///< When the pending events must be sent; zero if there are none.
         TimePoint retransmissionTimerStart; ///< Last transmission of the oldest unacknowledged event, or last acknowledgement.
         std::string domain; ///< Empty until it is known.
@@ -291,7 +302,17 @@
     void checkCoordinators(TimePoint now);
     /// Raises the fencing token, and schedules a poll that carries the new one to the server.
     void raiseToken(TimePoint now, const char *cause);
-    bool accepting(TimePoint now) const noexcept;
+    /// Adopts the evacuated failure domains of an entry if they are newer than the known ones. Hands queued tasks back when this
+    /// agent's own domain is evacuated, and tells the entries when that begins or ends.
+    void adoptEvacuations(TimePoint now, const Endpoint &from, const Evacuations &evacuations);
+    /// Whether the failure domain of this agent is evacuated.
+    bool evacuated() const
+    {
+        return m_evacuations.isEvacuated(m_settings.domain);
+    }
+    bool accepting(TimePoint now) const;
+    /// Whether the backend server can take runs; accepting() is false nevertheless during an evacuation.
+    bool serverUsable(TimePoint now) const noexcept;
     /// Whether this incarnation of the server has announced its capacity recently enough to rely on it.
     bool capacityKnown(TimePoint now) const noexcept;
     /// Raises the token by twice as much as the last time, because the server has rejected the current one.
@@ -307,7 +328,7 @@
     /// Starts queued runs as resources allow, then sends the reports that are due.
     void startAndReport(TimePoint now);
     void sendConfig(TimePoint now, const Endpoint &to, Coordinator &coordinator);
-    RefusalReason refusalFor(TimePoint now, const Resources &need) const noexcept;
+    RefusalReason refusalFor(TimePoint now, const Resources &need) const;
 
     AgentSettings m_settings;
     ServerPort &m_server;
@@ -326,6 +347,7 @@
     bool m_reportedSuspect = false;
     TimePoint m_progressCheckedAt;
     ConfigBlob m_config;
+    EvacuationState m_evacuations;
 
     std::optional<ServerIncarnation> m_serverIncarnation; ///< Empty before the first announcement and after the server has left.
     /// A response of the server has shown that m_serverIncarnation runs there. Until then, its start time may be wrong, and does
--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -266,8 +266,8 @@
             runs.push_back(run);
         }
     }
-    // A draining server ends without a crash, and its deregistration may be lost.
-    if (m_crashRecorded || m_draining || runs.empty()) {
+    // A draining server ends without a crash, and its deregistration may be lost. Servers of an evacuated domain are shut down.
+    if (m_crashRecorded || m_draining || evacuated() || runs.empty()) {
         return;
     }
     m_crashRecorded = true;
--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -147,6 +147,9 @@
 
 bool EntryDispatch::mayAdmit(TimePoint now) const
 {
+    if (m_settings.followsEvacuations && !m_evacuations.isKnown()) {
+        return false;
+    }
     return std::all_of(m_entries.begin(), m_entries.end(), [&](const std::pair<const Endpoint, EntryPeer> &entry) {
         return m_coordination.mayAdmit(now, entry.second.lists) && !mayLackCancelledJobs(now, entry.second);
     });
@@ -612,6 +615,7 @@
     maintainAgents(now);
     maintainEntries(now);
     fetchConfig(now);
+    checkUnknownDomains(now);
 }
 
 } // namespace cuminscale::dispatch
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -5,6 +5,7 @@
 #include "core/dispatch/coordination.h"
 #include "core/dispatch/cpu_overload_detector.h"
 #include "core/dispatch/crash_history.h"
+#include "core/dispatch/evacuation_state.h"
 #include "core/dispatch/job.h"
 #include "core/dispatch/latency_histogram.h"
 #include "core/dispatch/load_shedding.h"
@@ -66,6 +67,8 @@
     /// Minimum interval between two such lists to the same incarnation of an entry: the largest may take longer to arrive than
     /// the interval of the heartbeats that ask for it.
     Duration cancelledJobsInterval = milliseconds(500);
+    /// This long after a domain has been evacuated, all its running processes are known here; they report twice a second or more.
+    Duration unknownDomainDelay = seconds(3);
     std::size_t maxJobs = 4096;
     std::size_t maxEndedJobs = 20000;
 };
@@ -115,6 +118,7 @@
     std::uint64_t connectionsReplaced = 0;
     std::uint64_t configsFromPeers = 0;
     std::uint64_t crashingJobs = 0; ///< Submissions that failed because servers crashed under a task of the job.
+    std::uint64_t unknownDomains = 0; ///< Evacuated failure domains of which no process was known.
     std::uint64_t queuesIsolated = 0; ///< Times that a queue was confined to the isolation servers.
 };
 
@@ -132,7 +136,8 @@
 /// The class has no clock, sockets or threads: callers pass the current time. entry_dispatch.cpp implements the client-facing
 /// side of jobs, entry_cancellation.cpp their cancellation, entry_joined_jobs.cpp jobs that another entry coordinates,
 /// entry_runs.cpp the placement of runs, entry_crashes.cpp the consequences of server crashes, entry_supervision.cpp the
-/// detection of slow runs and servers, and entry_peers.cpp the protocol with agents and other entries.
+/// detection of slow runs and servers, entry_evacuation.cpp the evacuation of failure domains, and entry_peers.cpp the protocol
+/// with agents and other entries.
 class EntryDispatch
 {
 public:
@@ -187,6 +192,17 @@
 
     void addEntries(TimePoint now, const std::vector<Endpoint> &entries);
 
+    /// Adopts the evacuated failure domains as read from the store, unless a newer set is known.
+    void setEvacuations(TimePoint now, const Evacuations &evacuations)
+    {
+        adoptEvacuations(now, evacuations, nullptr);
+    }
+
+    const Evacuations &evacuations() const noexcept
+    {
+        return m_evacuations.valid();
+    }
+
     std::size_t usableAgents(TimePoint now) const
     {
         return m_fleet.usableCount(now);
@@ -197,7 +213,8 @@
     bool shouldRefuseUnread(TimePoint now, const JobId &id);
 
     /// Whether this entry may coordinate a job that no other entry lists. False for a short time after a start, a pause or a loss
-    /// of contact, and until the other entries have handed over their cancelled jobs after a start.
+    /// of contact, until the other entries have handed over their cancelled jobs after a start, and until it is known which
+    /// failure domains are evacuated.
     bool mayAdmit(TimePoint now) const;
 
     CpuOverloadDetector &cpuOverloadDetector() noexcept
@@ -425,6 +442,10 @@
     void refuse(TimePoint now, ClientTag client, const JobId &id, const QueueRule &queue, const char *reason);
     /// Answers that the outcome is unknown: the job is not admitted here, and another entry may run it.
     void holdBack(TimePoint now, ClientTag client, const JobId &id, const char *reason);
+    /// Adopts the evacuated domains as known to a peer, or to the store if that is null, if they are newer than the known ones.
+    void adoptEvacuations(TimePoint now, const Evacuations &evacuations, const Endpoint *peer);
+    /// Logs evacuated domains of which no process is known, once for each change of the set.
+    void checkUnknownDomains(TimePoint now);
     /// Records a crash of a server, and ends the jobs of which a task is now suspected of too many.
     void handleServerCrash(TimePoint now, const ProcessId &agent, const std::string &service, const ServerCrash &crash);
     /// Answers the client of a job that has crashed too many servers. Returns false for other jobs.
@@ -462,6 +483,8 @@
     ConfigBlob m_config;
     std::shared_ptr<const QueueConfig> m_queues; ///< Null until it is set.
     ConfigFetch m_configFetch;
+    EvacuationState m_evacuations;
+    TimePoint m_unknownDomainsDueAt; ///< When the evacuated domains are compared with the known ones; zero if they have been.
     CoordinationRules m_coordination;
     TimePoint m_overdueUpdatedAt;
     TimePoint m_startedAt;
--- a/src/core/dispatch/entry_peers.cpp
+++ b/src/core/dispatch/entry_peers.cpp
@@ -44,7 +44,10 @@
     AgentView &agent = *m_fleet.find(envelope.from.endpoint);
     if (agent.session.latestWasNewest()) {
         FleetView::applyReport(agent, report);
+        agent.evacuated = m_evacuations.isEvacuated(agent.domain);
     }
+    // Before the events: tasks that are handed back must not be placed in a domain that the agent knows to be evacuated.
+    adoptEvacuations(now, report.evacuations, &agent.endpoint);
     // The agent counts the orders of this incarnation also after this entry has removed its state.
     agent.lastOrder = std::max(agent.lastOrder, report.ordersSeen);
     // The agent no longer has the events before `oldestEvent`, so waiting for them would block all later ones.
@@ -70,7 +73,7 @@
         agent.acknowledgementPending = true;
         handleRunEvent(now, agent, event);
     }
-    if (agent.load.accepting && agent.hasOrphanedRuns) {
+    if ((agent.load.accepting || agent.load.evacuated) && agent.hasOrphanedRuns) {
         agent.hasOrphanedRuns = false;
         rescheduleOrphanedTasks(now, agent);
     }
@@ -151,6 +154,7 @@
     if (const EntryReport *report = std::get_if<EntryReport>(&envelope.message)) {
         receiveActiveJobs(now, envelope, *report, entry);
         receiveCancelledJobs(now, *report, entry);
+        adoptEvacuations(now, report->evacuations, &from);
         entry.domain = report->domain;
         for (const EntryAddress &known : report->entries) {
             addEntries(now, {known.endpoint});
@@ -236,6 +240,7 @@
 {
     EntryReport report;
     report.domain = m_settings.domain;
+    report.evacuations = m_evacuations.valid();
     if (sentList.length != entries.size() || now - sentList.sentAt >= m_settings.timing.entryListInterval) {
         sentList = EntryListState{now, entries.size()};
         report.entries = entries;
--- a/src/core/dispatch/entry_runs.cpp
+++ b/src/core/dispatch/entry_runs.cpp
@@ -93,7 +93,7 @@
     }
     if (!job.admitted && !mayAdmit(now)) {
         job.heldBack = true;
-        job.reason = "entries-not-heard";
+        job.reason = m_settings.followsEvacuations && !m_evacuations.isKnown() ? "evacuations-unknown" : "entries-not-heard";
         return false;
     }
     job.admitted = true;
@@ -317,7 +317,8 @@
         for (StepState &step : item.second.steps) {
             for (TaskState &task : step.tasks) {
                 if (task.phase == TaskState::Phase::Orphaned && task.agent == agent.endpoint) {
-                    // The agent's new incarnation accepts work again, so no run of the previous one is left on its server.
+                    // The agent's new incarnation accepts work again, or would but for an evacuation, so no run of the previous
+                    // one is left on its server.
                     task.phase = TaskState::Phase::Waiting;
                     item.second.started = true;
                     released = true;
--- a/src/core/dispatch/fleet_view.cpp
+++ b/src/core/dispatch/fleet_view.cpp
@@ -98,14 +98,14 @@
 
 bool FleetView::usable(const AgentView &agent, const std::string &service, TimePoint now)
 {
-    return agent.load.accepting && agent.service == service && agent.session.silence(now) < AgentStaleTimeout;
+    return agent.load.accepting && !agent.evacuated && agent.service == service && agent.session.silence(now) < AgentStaleTimeout;
 }
 
 bool FleetView::hasServerFor(const std::string &service, const Resources &need, std::string_view requiredLabel) const
 {
     return std::any_of(m_agents.begin(), m_agents.end(), [&](const Agents::value_type &item) {
         const AgentView &agent = item.second;
-        return agent.service == service && need.fits(agent.load.capacity) && agent.hasLabel(requiredLabel);
+        return agent.service == service && !agent.evacuated && need.fits(agent.load.capacity) && agent.hasLabel(requiredLabel);
     });
 }
 
--- a/src/core/dispatch/fleet_view.h
+++ b/src/core/dispatch/fleet_view.h
@@ -49,6 +49,7 @@
     std::uint32_t outstandingRuns = 0; ///< Ordered by this entry and not known to have ended.
     std::deque<UnreportedOrder> unreportedOrders; ///< Oldest first.
     ConfigLag configLag;
+    bool evacuated = false; ///< As far as this entry knows, its failure domain is evacuated.
 
     /// Resources available for a task that must start within `slack`: the reported free resources, less unreported orders and
     /// less queued work that starts earlier because it has less slack. Its CPU component is negative if such work already
@@ -91,10 +92,11 @@
     /// Updates an agent from a newer report and drops the unreported orders that the report includes.
     static void applyReport(AgentView &agent, const AgentReport &report);
 
-    /// Whether an agent of a service accepts work and has reported recently.
+    /// Whether an agent of a service accepts work, has reported recently and is in no evacuated failure domain.
     static bool usable(const AgentView &agent, const std::string &service, TimePoint now);
 
     /// Whether a server of a service, even one that does not accept work at present, has the label and the capacity for a task.
+    /// Evacuated servers don't count, as an evacuation outlasts a job.
     bool hasServerFor(const std::string &service, const Resources &need, std::string_view requiredLabel) const;
 
     std::size_t usableCount(TimePoint now) const;
--- a/src/core/dispatch/queue_isolation.cpp
+++ b/src/core/dispatch/queue_isolation.cpp
@@ -154,7 +154,8 @@
     std::vector<std::pair<std::size_t, Endpoint>> ranked;
     for (const FleetView::Agents::value_type &item : fleet.agents()) {
         const AgentView &agent = item.second;
-        if (agent.service == service && agent.hasLabel(step.requiredLabel) && step.need.fits(agent.load.capacity)) {
+        if (agent.service == service && !agent.evacuated && agent.hasLabel(step.requiredLabel)
+            && step.need.fits(agent.load.capacity)) {
             ranked.emplace_back(IdHash()(item.first), item.first);
         }
     }
--- a/src/core/dispatch/types.h
+++ b/src/core/dispatch/types.h
@@ -200,7 +200,7 @@
     /// Geometric mean of run times over the expected ones on a server of ordinary speed, over the runs of all entries.
     double slowness = 1.0;
     double slownessWeight = 0; ///< Number of runs that the mean stands for; 0 if there are none.
-    bool evacuated = false; ///< The failure domain of the server is evacuated.
+    bool evacuated = false; ///< The agent would accept start orders, but the failure domain of the server is evacuated.
     Duration cold{0}; ///< How much longer the server is slow after its start.
     std::vector<std::string> labels;
 };
--- a/src/daemon/agent_process.cpp
+++ b/src/daemon/agent_process.cpp
@@ -35,6 +35,7 @@
     agent.domain = settings.domain;
     agent.service = settings.service;
     agent.entries = settings.entries;
+    agent.followsEvacuations = settings.followsEvacuations;
     agent.firstToken = dispatch::FencingToken(wallClockMs());
     agent.timing.leaseDuration = std::min(agent.timing.leaseDuration, settings.maxLease);
     m_dispatch = std::make_unique<dispatch::AgentDispatch>(agent, m_gateway, *m_link, m_log, now());
@@ -100,6 +101,8 @@
         {"runs_lapsed", counters.runsLapsed},
         {"runs_lost", counters.runsLost},
         {"runs_handed_back", counters.runsRefused},
+        {"runs_refused_evacuated", counters.runsRefusedEvacuated},
+        {"evacuated_domains", m_dispatch->evacuations().domains.size()},
         {"starts_unanswered", counters.startsUnanswered},
         {"starts_repeated", counters.startsRepeated},
         {"leases_limited", counters.leasesLimited},
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -58,8 +58,15 @@
     handlers.onEntries = [this](const std::vector<Endpoint> &entries) {
         m_dispatch->addEntries(now(), entries);
     };
+    handlers.onEvacuations = [this](const dispatch::Evacuations &evacuations) {
+        m_dispatch->setEvacuations(now(), evacuations);
+    };
     m_store = std::make_unique<platform::StoreClient>(m_context, settings.store, m_log, std::move(handlers));
-    m_store->followConfig();
+    if (settings.followsEvacuations) {
+        m_store->followConfigAndEvacuations();
+    } else {
+        m_store->followConfig();
+    }
     m_store->registerEntry(settings.node, m_self.endpoint);
 }
 
@@ -168,6 +175,9 @@
         {"configs_from_peers", counters.configsFromPeers},
         {"jobs_crashing_servers", counters.crashingJobs},
         {"queues_isolated", counters.queuesIsolated},
+        {"evacuated_domains", m_dispatch->evacuations().domains.size()},
+        {"evacuations_unknown", counters.unknownDomains},
+        {"operator_items_ignored", m_store->operatorItemsIgnored()},
         {"store_calls", m_store->calls()},
         {"store_failures", m_store->failures()},
         {"config_version", m_dispatch->config().version},
