Admission by usual shares: surges are refused first (admission.policy "usual-share")

Cause: under overload the queue with the highest demand is cut first, so a queue that is requested as usual loses its service for the surge of a smaller one. Change: AdmissionControl is an interface; LargestFirstAdmission is the former policy, UsualShareAdmission refuses first what queues ask for beyond their usual share of the fleet's demand. DemandLedger measures the demand by queue and adds the digests that entries send each other once a second. Reason "surge", Retry-After over the time that the free capacity needs, metrics. LoadShedding decides as before, except that a queue whose jobs declare no processor time is not refused instead of getting an undefined fraction (0 / 0).

--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -1,6 +1,7 @@
 #include "core/dispatch/entry_dispatch.h"
 
 #include "core/dispatch/format.h"
+#include "core/dispatch/usual_share_admission.h"
 
 #include <algorithm>
 
@@ -35,6 +36,14 @@
         clients.end());
 }
 
+std::unique_ptr<AdmissionControl> makeAdmissionControl(const EntrySettings &settings)
+{
+    if (settings.admission == AdmissionPolicy::UsualShare) {
+        return std::make_unique<UsualShareAdmission>(settings.queueWeights);
+    }
+    return std::make_unique<LargestFirstAdmission>();
+}
+
 /// Expected CPU time of a job.
 double coreSeconds(const Job &job)
 {
@@ -71,6 +80,7 @@
     , m_links(links)
     , m_clients(clients)
     , m_log(log)
+    , m_admission(makeAdmissionControl(m_settings))
     , m_coordination(m_settings.timing.coordination, now)
     , m_startedAt(now)
     , m_lastTickAt(now)
@@ -98,6 +108,14 @@
     }
 }
 
+void EntryDispatch::setQueues(std::shared_ptr<const QueueConfig> queues)
+{
+    if (queues) {
+        m_admission->setQueues(*queues);
+    }
+    m_queues = std::move(queues);
+}
+
 void EntryDispatch::handleConfig(const ConfigBlob &config)
 {
     if (config.version > m_config.version && onNewerConfig) {
@@ -281,25 +299,29 @@
         job.steps.push_back(std::move(state));
     }
     m_isolation.recordDemand(now, queue->service, queue->name, coreSeconds(job));
-    if (m_loadShedding.shouldShed(now, queue->name, queue->urgency, coreSeconds(job), m_fleet.backlog(queue->service, now))) {
-        refuse(now, client, id, *queue, "shed");
+    const AdmissionDecision decision = m_admission->decide(now, *queue, coreSeconds(job), m_fleet.backlog(queue->service, now));
+    if (decision != AdmissionDecision::Admit) {
+        refuse(now, client, id, *queue, decision == AdmissionDecision::RefuseSurge ? "surge" : "shed", decision);
         return;
     }
     job.objectiveDeadline = now + scaled(criticalPath(*spec, job.steps), queue->workFactor) + queue->latencyObjective;
     admit(now, std::move(job));
 }
 
-void EntryDispatch::refuse(TimePoint now, ClientTag client, const JobId &id, const QueueRule &queue, const char *reason)
+void EntryDispatch::refuse(TimePoint now, ClientTag client, const JobId &id, const QueueRule &queue, const char *reason,
+                           AdmissionDecision decision)
 {
     ++m_counters.refusedAtOnce;
+    m_counters.refusedSurge += decision == AdmissionDecision::RefuseSurge ? 1 : 0;
     m_log.write(LogLevel::Info, "job-refused",
                 "job=" + idText(id) + " queue=" + queue.name + " reason=" + reason + " " + m_fleet.summary(now));
-    m_clients.answer(client, JobOutcome::NotRun, reason, retryAfter(now, id, queue));
+    m_clients.answer(client, JobOutcome::NotRun, reason, retryAfter(now, id, queue, decision));
 }
 
-Duration EntryDispatch::retryAfter(TimePoint now, const JobId &id, const QueueRule &queue) const
+Duration EntryDispatch::retryAfter(TimePoint now, const JobId &id, const QueueRule &queue, AdmissionDecision decision) const
 {
-    return LoadShedding::retryAfter(id, m_fleet.backlog(queue.service, now), m_settings.timing.retryAfter);
+    return m_admission->retryAfter(id, queue, decision, m_fleet.backlog(queue.service, now),
+                                   m_fleet.usableCores(queue.service, now), m_settings.timing.retryAfter);
 }
 
 void EntryDispatch::admit(TimePoint now, Job &&job)
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -1,13 +1,13 @@
 /// Admission, scheduling and supervision of jobs at an entry, the process that clients submit jobs to.
 #pragma once
 
+#include "core/dispatch/admission_control.h"
 #include "core/dispatch/config_fetch.h"
 #include "core/dispatch/coordination.h"
 #include "core/dispatch/cpu_overload_detector.h"
 #include "core/dispatch/crash_history.h"
 #include "core/dispatch/job.h"
 #include "core/dispatch/latency_histogram.h"
-#include "core/dispatch/load_shedding.h"
 #include "core/dispatch/placement.h"
 #include "core/dispatch/queue_isolation.h"
 #include "core/dispatch/run_time_estimate.h"
@@ -23,6 +23,7 @@
 /// Timeouts, intervals and limits of an entry.
 struct EntryTiming
 {
+    Duration demandDigestInterval = seconds(1); ///< Interval of the demand digests in heartbeats to other entries.
     Duration heartbeatInterval = milliseconds(200); ///< Three heartbeats fit into the agents' timeout for a coordinator.
     /// Peers receive the full list of entries at this interval, and at once when the number of entries changes.
     Duration entryListInterval = seconds(2);
@@ -101,6 +102,7 @@
     std::uint64_t failed = 0;
     std::uint64_t refusedAtOnce = 0; ///< At submission.
     std::uint64_t refusedLater = 0; ///< After admission, with no run started.
+    std::uint64_t refusedSurge = 0; ///< Of refusedAtOnce: AdmissionDecision::RefuseSurge.
     std::uint64_t refusedUnread = 0; ///< Before parsing, under CPU overload.
     std::uint64_t notAdmitted = 0; ///< Submissions not admitted because this entry may have missed lists of active jobs.
     std::uint64_t unconfirmed = 0; ///< Jobs given up because a live entry did not confirm a list that contains them.
@@ -178,10 +180,7 @@
     }
     /// Sets the queues of the configuration in force, for jobs that are submitted again for waiting clients. Before the first
     /// call, the rule of the client's request applies.
-    void setQueues(std::shared_ptr<const QueueConfig> queues)
-    {
-        m_queues = std::move(queues);
-    }
+    void setQueues(std::shared_ptr<const QueueConfig> queues);
     /// Called when a peer sends a newer configuration than the one in force.
     std::function<void(const ConfigBlob &)> onNewerConfig;
 
@@ -211,7 +210,13 @@
     }
 
     /// Delay after which the client of a refused job may retry.
-    Duration retryAfter(TimePoint now, const JobId &id, const QueueRule &queue) const;
+    Duration retryAfter(TimePoint now, const JobId &id, const QueueRule &queue,
+                        AdmissionDecision decision = AdmissionDecision::Shed) const;
+
+    const AdmissionControl &admission() const noexcept
+    {
+        return *m_admission;
+    }
 
     /// Number of client requests without an answer.
     std::size_t unanswered() const noexcept;
@@ -255,6 +260,7 @@
         bool cancelledJobsReceived = false; ///< By this entry, since its start or since the other one was last silent.
         bool cancelledJobsRequested = false; ///< By the other entry.
         TimePoint cancelledJobsSentAt; ///< To its present incarnation; zero if not yet.
+        TimePoint demandsSentAt; ///< As cancelledJobsSentAt.
     };
 
     /// A job that another entry coordinates and that clients of this entry wait for.
@@ -422,7 +428,10 @@
     static bool mayHaveFormerRuns(TimePoint now, const EntryPeer &entry, const JobId &id);
     /// The other entry that coordinates the job; null if there is none or it has been silent for too long.
     const Endpoint *remoteCoordinator(TimePoint now, const JobId &id) const;
-    void refuse(TimePoint now, ClientTag client, const JobId &id, const QueueRule &queue, const char *reason);
+    void refuse(TimePoint now, ClientTag client, const JobId &id, const QueueRule &queue, const char *reason,
+                AdmissionDecision decision = AdmissionDecision::Shed);
+    /// Takes over the demand digest of another entry; logs invalid ones at intervals.
+    void receiveDemands(TimePoint now, const Endpoint &from, const EntryReport &report);
     /// Answers that the outcome is unknown: the job is not admitted here, and another entry may run it.
     void holdBack(TimePoint now, ClientTag client, const JobId &id, const char *reason);
     /// Records a crash of a server, and ends the jobs of which a task is now suspected of too many.
@@ -445,7 +454,8 @@
     EarliestFinish m_placement;
     CrashHistory m_crashes;
     QueueIsolation m_isolation;
-    LoadShedding m_loadShedding;
+    std::unique_ptr<AdmissionControl> m_admission; ///< Never null.
+    TimePoint m_invalidDemandsLoggedAt;
     CpuOverloadDetector m_cpuOverload;
     std::map<Endpoint, EntryPeer> m_entries;
     Jobs m_jobs;
--- a/src/core/dispatch/entry_peers.cpp
+++ b/src/core/dispatch/entry_peers.cpp
@@ -139,6 +139,7 @@
         entry.heartbeatSentAt = TimePoint();
         entry.entryList = EntryListState();
         entry.cancelledJobsSentAt = TimePoint();
+        entry.demandsSentAt = TimePoint();
         if (wasKnown) {
             ++m_counters.connectionsReplaced;
             m_links.replaceConnection(from);
@@ -151,6 +152,9 @@
     if (const EntryReport *report = std::get_if<EntryReport>(&envelope.message)) {
         receiveActiveJobs(now, envelope, *report, entry);
         receiveCancelledJobs(now, *report, entry);
+        if (entry.session.latestWasNewest()) {
+            receiveDemands(now, from, *report);
+        }
         entry.domain = report->domain;
         for (const EntryAddress &known : report->entries) {
             addEntries(now, {known.endpoint});
@@ -169,6 +173,18 @@
     }
 }
 
+void EntryDispatch::receiveDemands(TimePoint now, const Endpoint &from, const EntryReport &report)
+{
+    constexpr Duration LogInterval = seconds(60);
+    if (report.demands.empty() || m_admission->receiveDigest(now, from, report.demands)
+        || now - m_invalidDemandsLoggedAt < LogInterval) {
+        return;
+    }
+    m_invalidDemandsLoggedAt = now;
+    m_log.write(LogLevel::Warning, "demand-digest-invalid",
+                "entry=" + toString(from) + " ignored_figures=" + std::to_string(m_admission->malformedFigures()));
+}
+
 std::string EntryDispatch::describePeers(TimePoint now) const
 {
     std::size_t heard = 0;
@@ -314,6 +330,7 @@
 {
     const std::vector<EntryAddress> entries = knownEntries();
     const std::vector<JobKey> jobs = activeJobs();
+    const std::vector<QueueDemand> demands = m_admission->demandDigest(now);
     for (std::map<Endpoint, EntryPeer>::iterator it = m_entries.begin(); it != m_entries.end();) {
         EntryPeer &entry = it->second;
         // An entry that is cut off keeps the others: it must not take itself for the only one.
@@ -340,6 +357,10 @@
                 entry.cancelledJobsSentAt = now;
                 heartbeat.cancelledJobs = cancelledJobs(now);
             }
+            if (!demands.empty() && now - entry.demandsSentAt >= m_settings.timing.demandDigestInterval) {
+                entry.demandsSentAt = now;
+                heartbeat.demands = demands;
+            }
             sendToEntry(now, it->first, entry, std::move(heartbeat));
         }
         ++it;
--- a/src/core/dispatch/fleet_view.cpp
+++ b/src/core/dispatch/fleet_view.cpp
@@ -150,6 +150,16 @@
     return capacity == 0 ? 0.0 : static_cast<double>(std::max<std::int64_t>(excess, 0)) / static_cast<double>(capacity);
 }
 
+double FleetView::usableCores(const std::string &service, TimePoint now) const
+{
+    constexpr double MilliPerCore = 1e3;
+    std::int64_t capacity = 0;
+    for (const Agents::value_type &item : m_agents) {
+        capacity += usable(item.second, service, now) ? item.second.load.capacity.cpuMilli : 0;
+    }
+    return static_cast<double>(capacity) / MilliPerCore;
+}
+
 std::size_t FleetView::usableCount(TimePoint now) const
 {
     return static_cast<std::size_t>(std::count_if(m_agents.begin(), m_agents.end(), [now](const Agents::value_type &item) {
--- a/src/core/dispatch/fleet_view.h
+++ b/src/core/dispatch/fleet_view.h
@@ -102,6 +102,9 @@
     /// Excess CPU demand of a service as a fraction of the capacity of its usable servers; 0 while capacity is left.
     double backlog(const std::string &service, TimePoint now) const;
 
+    /// CPU capacity of the usable servers of a service, in cores.
+    double usableCores(const std::string &service, TimePoint now) const;
+
     /// The fleet's state as fields of a log line, to explain refusals.
     std::string summary(TimePoint now) const;
 
--- a/src/core/dispatch/load_shedding.cpp
+++ b/src/core/dispatch/load_shedding.cpp
@@ -48,18 +48,14 @@
     }
 }
 
-double LoadShedding::fairLevel(double toShed) const
+double LoadShedding::fairLevel(std::vector<double> demands, double toShed)
 {
-    std::vector<double> recentWork;
-    for (const std::pair<const std::string, Queue> &item : m_queues) {
-        recentWork.push_back(item.second.recentWork);
-    }
-    std::sort(recentWork.begin(), recentWork.end(), std::greater<double>());
+    std::sort(demands.begin(), demands.end(), std::greater<double>());
     // Cutting the n largest queues to the level of the next one sheds their demand above that level.
     double sum = 0;
-    for (std::size_t n = 1; n <= recentWork.size(); ++n) {
-        sum += recentWork[n - 1];
-        const double next = n < recentWork.size() ? recentWork[n] : 0.0;
+    for (std::size_t n = 1; n <= demands.size(); ++n) {
+        sum += demands[n - 1];
+        const double next = n < demands.size() ? demands[n] : 0.0;
         if (sum - static_cast<double>(n) * next >= toShed) {
             return (sum - toShed) / static_cast<double>(n);
         }
@@ -67,31 +63,45 @@
     return 0.0;
 }
 
-bool LoadShedding::shouldShed(TimePoint now, const std::string &queue, std::uint32_t urgency, double work, double backlog)
+double LoadShedding::refusalFraction(TimePoint now, const std::string &queue, std::uint32_t urgency, double work, double backlog)
 {
     // Jobs of the most urgent queues are refused only if they can't meet their objective.
     if (urgency == MostUrgent) {
-        return false;
+        return 0.0;
     }
     decay(now);
     Queue &demand = m_queues[queue];
     demand.updatedAt = now;
     demand.recentWork += work;
     const double share = shedFraction(backlog);
-    if (share <= 0.0) {
-        return false;
+    if (share <= 0.0 || demand.recentWork <= 0.0) {
+        return 0.0;
     }
+    std::vector<double> recentWork;
     double totalWork = 0;
     for (const std::pair<const std::string, Queue> &item : m_queues) {
+        recentWork.push_back(item.second.recentWork);
         totalWork += item.second.recentWork;
     }
-    const double level = fairLevel(share * totalWork);
-    demand.refusalCredit += std::max(demand.recentWork - level, 0.0) / demand.recentWork;
-    if (demand.refusalCredit < 1.0) {
+    const double level = fairLevel(std::move(recentWork), share * totalWork);
+    return std::max(demand.recentWork - level, 0.0) / demand.recentWork;
+}
+
+bool LoadShedding::addRefusalCredit(const std::string &queue, double fraction)
+{
+    double &credit = m_queues[queue].refusalCredit;
+    credit += fraction;
+    if (credit < 1.0) {
         return false;
     }
-    demand.refusalCredit -= 1.0;
+    credit -= 1.0;
     return true;
 }
 
+bool LoadShedding::shouldShed(TimePoint now, const std::string &queue, std::uint32_t urgency, double work, double backlog)
+{
+    const double fraction = refusalFraction(now, queue, urgency, work, backlog);
+    return fraction > 0.0 && addRefusalCredit(queue, fraction);
+}
+
 } // namespace cuminscale::dispatch
--- a/src/core/dispatch/load_shedding.h
+++ b/src/core/dispatch/load_shedding.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace cuminscale::dispatch
 {
@@ -25,6 +26,12 @@
     /// capacity.
     bool shouldShed(TimePoint now, const std::string &queue, std::uint32_t urgency, double work, double backlog);
 
+    /// Counts a job as shouldShed() does, and returns the fraction of the queue's jobs to refuse.
+    double refusalFraction(TimePoint now, const std::string &queue, std::uint32_t urgency, double work, double backlog);
+
+    /// Adds a fraction of a job to what the queue has to refuse. Returns whether its latest job completes a whole one.
+    bool addRefusalCredit(const std::string &queue, double fraction);
+
     /// Delay after which the client of a refused job may retry. The higher the backlog, the longer the period that retries are
     /// spread over, by job id, so that they don't cause the next burst. Without a backlog the delay is `minimum`.
     static Duration retryAfter(const JobId &job, double backlog, Duration minimum);
@@ -32,6 +39,9 @@
     /// Fraction of the less urgent work to shed.
     static double shedFraction(double backlog) noexcept;
 
+    /// The level to which the larger of these demands must be cut to shed this much work; 0 if all of it must be shed.
+    static double fairLevel(std::vector<double> demands, double toShed);
+
 private:
     struct Queue
     {
@@ -42,8 +52,6 @@
 
     /// Decays the queues' recent work and removes idle queues.
     void decay(TimePoint now);
-    /// The level to which the recent work of the larger queues must be cut to shed this much work.
-    double fairLevel(double toShed) const;
 
     std::map<std::string, Queue> m_queues;
 };
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -152,6 +152,7 @@
         {"jobs_succeeded_late", counters.succeededLate},
         {"jobs_failed", counters.failed},
         {"jobs_refused_at_once", counters.refusedAtOnce},
+        {"jobs_refused_surge", counters.refusedSurge},
         {"jobs_refused_later", counters.refusedLater},
         {"jobs_refused_unread", counters.refusedUnread},
         {"jobs_cancelled", counters.cancelled},
@@ -168,6 +169,7 @@
         {"configs_from_peers", counters.configsFromPeers},
         {"jobs_crashing_servers", counters.crashingJobs},
         {"queues_isolated", counters.queuesIsolated},
+        {"demand_figures_malformed", m_dispatch->admission().malformedFigures()},
         {"store_calls", m_store->calls()},
         {"store_failures", m_store->failures()},
         {"config_version", m_dispatch->config().version},
@@ -178,6 +180,15 @@
     for (const std::pair<const char *, std::uint64_t> &row : rows) {
         metrics.add(row.first, row.second);
     }
+    std::map<std::string, double> usual;
+    std::map<std::string, double> present;
+    for (const std::pair<const std::string, dispatch::AdmissionControl::NamedDemand> &demand :
+         m_dispatch->admission().fleetDemand()) {
+        usual[demand.first] = demand.second.usual;
+        present[demand.first] = demand.second.present;
+    }
+    metrics.add("queue_usual_cpu", "queue", usual);
+    metrics.add("queue_present_cpu", "queue", present);
     metrics.add("job_duration_seconds", "queue", m_dispatch->jobDurations());
     return metrics.text();
 }
--- a/src/daemon/metrics_text.cpp
+++ b/src/daemon/metrics_text.cpp
@@ -31,6 +31,17 @@
     m_text += std::string("cuminscale_") + name + " " + std::to_string(value) + "\n";
 }
 
+void MetricsText::add(const char *name, const char *label, const std::map<std::string, double> &samples)
+{
+    std::ostringstream out;
+    out << "# TYPE cuminscale_" << name << " gauge\n";
+    for (const std::pair<const std::string, double> &sample : samples) {
+        out << "cuminscale_" << name << "{" << label << "=\"" << escapeLabelValue(sample.first) << "\"} " << sample.second
+            << "\n";
+    }
+    m_text += out.str();
+}
+
 void MetricsText::add(const char *name, const char *label, const dispatch::NamedHistograms &histograms)
 {
     m_text += std::string("# TYPE cuminscale_") + name + " histogram\n";
--- a/src/daemon/metrics_text.h
+++ b/src/daemon/metrics_text.h
@@ -3,6 +3,7 @@
 
 #include "core/dispatch/latency_histogram.h"
 
+#include <map>
 #include <string>
 
 namespace cuminscale
@@ -13,6 +14,8 @@
 {
 public:
     void add(const char *name, std::uint64_t value);
+    /// Adds one sample of a gauge per value of the label `label`; the values are the keys of `samples`.
+    void add(const char *name, const char *label, const std::map<std::string, double> &samples);
     /// Adds one histogram per value of the label `label`; the values are the names in `histograms`.
     void add(const char *name, const char *label, const dispatch::NamedHistograms &histograms);
     void add(const char *name, const dispatch::LatencyHistogram &histogram);
