--- a/src/core/dispatch/usual_share_admission.cpp
+++ b/src/core/dispatch/usual_share_admission.cpp
@@ -9,9 +9,9 @@
 namespace
 {
 
-/// A queue surges if its present demand exceeds its entitlement by this factor. The present demand of a queue with some ten jobs
-/// a second varies by about a tenth by itself.
-constexpr double SurgeThreshold = 1.15;
+/// A queue surges if its present demand exceeds its entitlement by this factor. The present demand of a queue with some forty
+/// jobs a second varies by a tenth by itself.
+constexpr double SurgeThreshold = 1.12;
 /// Time constant of the mean shed fraction. The backlog varies within tenths of a second, as jobs arrive as groups of tasks.
 constexpr double MeanFractionSeconds = 1.0;
 /// Queues known from submitted jobs alone, before the configuration names them.
@@ -81,34 +81,40 @@
 std::optional<UsualShareAdmission::Refusal> UsualShareAdmission::refusal(QueueKey queue, const std::string &service,
                                                                          double shedFraction, double meanFraction) const
 {
-    const std::vector<Claim> all = claims(service, shedFraction);
     double lessUrgent = 0;
-    double totalSurge = 0;
-    const Claim *own = nullptr;
-    for (const Claim &claim : all) {
-        if (!claim.mostUrgent) {
-            lessUrgent += claim.present;
-            totalSurge += claim.surge;
-            own = claim.queue == queue ? &claim : own;
+    double surges = 0;
+    double ofSurgingQueues = 0; // Their whole demand.
+    std::vector<double> remaining; // Demand by queue without the surges.
+    std::optional<Claim> own;
+    for (const Claim &claim : claims(service, shedFraction)) {
+        if (claim.mostUrgent) {
+            continue;
+        }
+        lessUrgent += claim.present;
+        surges += claim.surge;
+        ofSurgingQueues += claim.surge > 0.0 ? claim.present : 0.0;
+        remaining.push_back(claim.present - claim.surge);
+        if (claim.queue == queue) {
+            own = claim;
         }
     }
-    if (totalSurge <= 0.0 || own == nullptr || own->present <= 0.0) {
+    if (surges <= 0.0 || !own || own->present <= 0.0) {
         return std::nullopt;
     }
-    // A peak of the backlog within a second does not exceed the surges on average. The surges make up for it afterwards.
-    const double toRefuse = std::max(shedFraction, meanFraction) * lessUrgent;
-    const double lasting = std::min(shedFraction, meanFraction) * lessUrgent;
+    const double toRefuse = shedFraction * lessUrgent;
+    const double ofSurges = std::min(toRefuse, surges);
+    // The queues with the highest demand are cut if the surges are too small for the mean backlog, too. A peak of the backlog is
+    // borne by the queues that surge, beyond their surges, as long as they have enough demand.
+    const double ofLargest =
+        std::max({std::min(shedFraction, meanFraction) * lessUrgent - surges, toRefuse - ofSurgingQueues, 0.0});
+    const double ofPeak = toRefuse - ofSurges - ofLargest;
+    const double level = LoadShedding::fairLevel(std::move(remaining), ofLargest);
     Refusal refusal;
-    refusal.surge = own->surge * std::min(toRefuse / totalSurge, 1.0) / own->present;
-    if (lasting > totalSurge) {
-        std::vector<double> remaining;
-        for (const Claim &claim : all) {
-            if (!claim.mostUrgent) {
-                remaining.push_back(claim.present - claim.surge);
-            }
-        }
-        const double level = LoadShedding::fairLevel(std::move(remaining), lasting - totalSurge);
-        refusal.shed = std::max(own->present - own->surge - level, 0.0) / own->present;
+    refusal.shed = std::max(own->present - own->surge - level, 0.0) / own->present;
+    refusal.surge = own->surge * (ofSurges / surges) / own->present;
+    const double left = ofSurgingQueues - surges - ofLargest;
+    if (ofPeak > 0.0 && own->surge > 0.0) {
+        refusal.surge += (1.0 - refusal.surge - refusal.shed) * (ofPeak < left ? ofPeak / left : 1.0);
     }
     return refusal;
 }
--- a/src/core/dispatch/usual_share_admission.h
+++ b/src/core/dispatch/usual_share_admission.h
@@ -8,9 +8,9 @@
 {
 
 /// Refuses as much work as LoadShedding, first from the queues whose present demand surges: it exceeds both their usual demand
-/// and their usual share of the present total demand of their service. Their demand is cut in proportion to the surges, at most
-/// down to their usual demand or their usual share of what is admitted, whichever is larger. What the surges don't cover is
-/// refused from the queues with the highest demand. Usual demand that a queue does not use is lent to the queues that surge.
+/// and their usual share of the present total demand of their service. Their demand is cut in proportion to the surges, down to
+/// their usual demand or their usual share of what is admitted, whichever is larger. Usual demand that a queue does not use is
+/// lent to the queues that surge. What the surges don't cover for a second is refused from the queues with the highest demand.
 ///
 /// Load pattern: one or two queues are requested at 1.6 to 2.6 times their usual rate for 4 to 6 s. Refusing from the queue with
 /// the highest demand makes a larger queue, which is requested as usual, lose its service for the surge of a smaller one. If all
