--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -159,6 +159,7 @@
         {"jobs_succeeded_late", counters.succeededLate},
         {"jobs_failed", counters.failed},
         {"jobs_refused_at_once", counters.refusedAtOnce},
+        {"jobs_refused_surge", counters.refusedSurge},
         {"jobs_refused_later", counters.refusedLater},
         {"jobs_refused_unread", counters.refusedUnread},
         {"jobs_cancelled", counters.cancelled},
@@ -178,6 +179,7 @@
         {"evacuated_domains", m_dispatch->evacuations().domains.size()},
         {"evacuations_unknown", counters.unknownDomains},
         {"operator_items_ignored", m_store->operatorItemsIgnored()},
+        {"demand_figures_malformed", m_dispatch->admission().malformedFigures()},
         {"store_calls", m_store->calls()},
         {"store_failures", m_store->failures()},
         {"config_version", m_dispatch->config().version},
@@ -188,6 +190,15 @@
     for (const std::pair<const char *, std::uint64_t> &row : rows) {
         metrics.add(row.first, row.second);
     }
+    std::map<std::string, double> usual;
+    std::map<std::string, double> present;
+    for (const std::pair<const std::string, dispatch::AdmissionControl::NamedDemand> &demand :
+         m_dispatch->admission().fleetDemand()) {
+        usual[demand.first] = demand.second.usual;
+        present[demand.first] = demand.second.present;
+    }
+    metrics.add("queue_usual_cpu", "queue", usual);
+    metrics.add("queue_present_cpu", "queue", present);
     metrics.add("job_duration_seconds", "queue", m_dispatch->jobDurations());
     return metrics.text();
 }
