Long tasks are not restarted as if their servers were slow

Cause: a run without completed siblings was restarted at three times its expected time, and a run of five times marked its server stalled.

Change: each entry keeps, by queue, the distribution of run times over the expected ones (RunTimeDistribution). RestartDecision weighs the probability that a task is long against that of a slow server, from the server's other overdue runs, later runs that ended there, and siblings on other servers, and restarts only if the restarted run is expected to end sooner. The evidence from overdue and completed runs is weighed the same way. Run times of siblings are compared at the speed of an ordinary server. Agents count runs well beyond their estimates with their whole estimate as remaining work, and placement weighs waits of all but the most urgent tasks by 1.5: with known speeds, long tasks otherwise waited at fast servers beside idle slow ones.

--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -583,6 +583,7 @@
             continue;
         }
         if (!it->second.answer && now >= it->second.clientDeadline) {
+            recordUnfinishedSteps(now, it->second);
             finish(now, it->second, JobOutcome::NotRun, "deadline");
         } else if (!it->second.answer) {
             giveUpIfUnconfirmed(now, it->second);
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -10,6 +10,7 @@
 #include "core/dispatch/load_shedding.h"
 #include "core/dispatch/placement.h"
 #include "core/dispatch/queue_isolation.h"
+#include "core/dispatch/restart_decision.h"
 #include "core/dispatch/run_time_estimate.h"
 
 #include <deque>
@@ -111,6 +112,7 @@
     std::uint64_t runsHandedBack = 0; ///< Reported by the agent as RunEnd::NeverStarted.
     std::uint64_t runsFailed = 0;
     std::uint64_t runsRestarted = 0; ///< Stopped to run elsewhere.
+    std::uint64_t discardedMilliCoreMs = 0; ///< Work of runs that were stopped or lost, in thousandths of a core times ms.
     std::uint64_t ordersRepeated = 0; ///< Start orders retransmitted.
     std::uint64_t connectionsReplaced = 0;
     std::uint64_t configsFromPeers = 0;
@@ -368,6 +370,15 @@
     /// Whether the last start order of a task is overdue and was not merely delayed.
     bool orderMayBeLost(TimePoint now, const AgentView &agent, const TaskState &task) const;
     void restartStragglers(TimePoint now, Job &job, std::uint32_t stepIndex);
+    /// What is known of a running task and its server, for RestartDecision. `longest` has the longest ages of the step's running
+    /// tasks by agent.
+    RunEvidence evidenceFor(TimePoint now, const Job &job, const StepState &step, const Endpoint &agent, TimePoint startedAt,
+                            const std::map<Endpoint, Duration> &longest) const;
+    /// The distribution of the run times of a job's queue.
+    const RunTimeDistribution &distributionOf(const Job &job) const;
+    /// Records the run times of a completed step, or of the running tasks of a job that has not ended in time.
+    void recordStepRunTime(TimePoint now, const Job &job, const StepState &step);
+    void recordUnfinishedSteps(TimePoint now, const Job &job);
     void stopRun(TimePoint now, Job &job, const RunRef &ref, TaskState &task);
     /// Decides the outcome of a job and stops its runs.
     void finish(TimePoint now, Job &job, JobOutcome answer, const char *reason);
@@ -389,9 +400,9 @@
     /// Updates the health of all servers from their unfinished runs.
     void updateOverdueRuns(TimePoint now);
     /// Adds the evidence that the running tasks of a step give about the speed of their backend servers.
-    void addOverdueEvidence(TimePoint now, const StepState &step, std::map<Endpoint, RunTimeEvidence> &overdue);
+    void addOverdueEvidence(TimePoint now, const Job &job, const StepState &step, std::map<Endpoint, RunTimeEvidence> &overdue);
     /// Compares the run times on the backend servers of a step. Called once all its tasks have completed.
-    void compareRunTimes(TimePoint now, const StepState &step);
+    void compareRunTimes(TimePoint now, const Job &job, const StepState &step);
     /// Marks this entry's runs at a restarted agent as orphaned.
     void orphanRuns(TimePoint now, const Endpoint &agent);
     void rescheduleOrphanedTasks(TimePoint now, AgentView &agent);
@@ -459,6 +470,10 @@
     std::unordered_map<JobId, EndedJob, JobIdHash> m_endedJobs;
     std::deque<std::pair<TimePoint, JobId>> m_endedOrder; ///< Ended jobs with their end times, oldest first.
     std::map<std::string, RunTimeEstimate> m_estimates; ///< By queue.
+    std::map<std::string, RunTimeDistribution> m_distributions; ///< By queue.
+    /// Logarithm of the probability that all overdue runs of this entry on a server belong to long tasks, as of
+    /// m_overdueUpdatedAt.
+    std::map<Endpoint, double> m_overdueLogProbability;
     ConfigBlob m_config;
     std::shared_ptr<const QueueConfig> m_queues; ///< Null until it is set.
     ConfigFetch m_configFetch;
--- a/src/core/dispatch/entry_runs.cpp
+++ b/src/core/dispatch/entry_runs.cpp
@@ -196,6 +196,10 @@
 {
     StepState &step = job.steps[event.run.task.step];
     const JobId id = job.id;
+    if (event.end == RunEnd::Stopped || event.end == RunEnd::Lapsed || event.end == RunEnd::Lost) {
+        const std::int64_t cpuMilli = job.spec->steps[event.run.task.step].need.cpuMilli;
+        m_counters.discardedMilliCoreMs += static_cast<std::uint64_t>(std::max<std::int64_t>(cpuMilli * toMs(event.ran), 0));
+    }
     agent.outstandingRuns -= agent.outstandingRuns > 0 ? 1 : 0;
     job.started = job.started || event.end != RunEnd::NeverStarted;
     task.phase = TaskState::Phase::Waiting;
@@ -203,15 +207,20 @@
     case RunEnd::Done:
         task.phase = TaskState::Phase::Done;
         ++step.done;
-        step.longestRunTime = std::max(step.longestRunTime, event.ran);
+        step.longestRunTime = std::max(step.longestRunTime, scaled(event.ran, 1.0 / agent.health.measuredSlowness(now)));
         task.runTime = event.ran;
         step.runTimesValid = step.runTimesValid && !event.serverUnresponsive;
         agent.health.recordDone(now);
+        if (ratio(event.ran, step.expectedRun) < SlowServerFactor * agent.health.measuredSlowness(now)) {
+            agent.ordinaryRunStartedAt = task.startedAt;
+            agent.ordinaryRunEndedAt = now;
+        }
         if (!event.serverUnresponsive && agent.health.slowness(now) < SlowServerFactor) {
             m_estimates[job.queue->name].record(job.spec->steps[event.run.task.step].estimate, event.ran);
         }
         if (step.done == step.tasks.size() && step.runTimesValid) {
-            compareRunTimes(now, step);
+            recordStepRunTime(now, job, step);
+            compareRunTimes(now, job, step);
         }
         break;
     case RunEnd::Failed:
--- a/src/core/dispatch/entry_supervision.cpp
+++ b/src/core/dispatch/entry_supervision.cpp
@@ -12,72 +12,141 @@
 namespace
 {
 
-/// A run is restarted elsewhere only if that is expected to take at most this fraction of its remaining time.
-constexpr double MaxRestartCostRatio = 0.7;
-/// Safety factor on the expected run time of a restart.
-constexpr double RestartTimeFactor = 1.1;
-/// A run is overdue at this multiple of the run time of its step's completed tasks, which varies by about a sixth.
-constexpr double SiblingOverdueFactor = 1.6;
-/// The same as a multiple of the expected run time, which may be off by a factor of two.
-constexpr double EstimateOverdueFactor = 3.0;
-/// Added to the run time from which a run counts as overdue.
-constexpr Duration OverdueMargin = milliseconds(30);
 /// A run that takes this multiple of its expected time, and at least MinStallTime, has stalled.
 constexpr double StallFactor = 5.0;
 constexpr Duration MinStallTime = milliseconds(350);
 constexpr Duration OverdueUpdateInterval = milliseconds(40);
+/// The server is taken to have stalled only if a long task is no likelier cause than this.
+constexpr double MaxStallLongProbability = 0.5;
+/// Runs count as evidence on the other runs of their server once fewer than this fraction of all tasks take as long.
+constexpr double OverdueProbability = 0.1;
+/// Longer run times relative to the expected ones may come from long tasks.
+constexpr double OrdinaryRatio = 1.5;
+
+/// Ages of the longest running tasks of a step, by agent. Run times of a step's tasks on one server are correlated: together they
+/// give little more evidence than the longest one, so only that one counts.
+std::map<Endpoint, Duration> longestAges(TimePoint now, const StepState &step)
+{
+    std::map<Endpoint, Duration> longest;
+    for (const TaskState &task : step.tasks) {
+        if (task.phase == TaskState::Phase::Running && !task.stopSent) {
+            Duration &most = longest[task.agent];
+            most = std::max(most, now - task.startedAt);
+        }
+    }
+    return longest;
+}
 
 } // namespace
 
-void EntryDispatch::restartStragglers(TimePoint now, Job &job, std::uint32_t stepIndex)
+const RunTimeDistribution &EntryDispatch::distributionOf(const Job &job) const
 {
-    StepState &step = job.steps[stepIndex];
+    static const RunTimeDistribution Unknown;
+    const std::map<std::string, RunTimeDistribution>::const_iterator it = m_distributions.find(job.queue->name);
+    return it == m_distributions.end() ? Unknown : it->second;
+}
+
+RunEvidence EntryDispatch::evidenceFor(TimePoint now, const Job &job, const StepState &step, const Endpoint &agent,
+                                       TimePoint startedAt, const std::map<Endpoint, Duration> &longest) const
+{
+    RunEvidence evidence;
+    evidence.age = now - startedAt;
     // Tasks of a step have similar run times: once half of them have completed, the longest of these run times is a better
     // estimate than the expected run time.
-    const bool halfCompleted = step.done * 2 >= step.tasks.size() && step.done > 0;
+    evidence.siblingsCompleted = step.done * 2 >= step.tasks.size() && step.done > 0;
+    evidence.expected = evidence.siblingsCompleted ? step.longestRunTime : step.expectedRun;
+    const FleetView::Agents::const_iterator it = m_fleet.agents().find(agent);
+    if (it != m_fleet.agents().end()) {
+        evidence.slowness = it->second.health.measuredSlowness(now);
+        evidence.suspect = it->second.load.suspect;
+        evidence.laterRunEnded = it->second.ordinaryRunStartedAt >= startedAt
+            && it->second.ordinaryRunEndedAt >= startedAt + scaled(evidence.expected, evidence.slowness);
+    }
+    for (const std::pair<const Endpoint, Duration> &item : longest) {
+        if (item.first != agent) {
+            const FleetView::Agents::const_iterator other = m_fleet.agents().find(item.first);
+            const double slowness = other == m_fleet.agents().end() ? 1.0 : other->second.health.measuredSlowness(now);
+            evidence.ageElsewhere = std::max(evidence.ageElsewhere, scaled(item.second, 1.0 / slowness));
+        }
+    }
+    const std::map<Endpoint, double>::const_iterator others = m_overdueLogProbability.find(agent);
+    if (others != m_overdueLogProbability.end()) {
+        const double own = distributionOf(job).probabilityLonger(ratio(evidence.age, step.expectedRun) / evidence.slowness);
+        evidence.otherRunsProbability = std::min(std::exp(others->second) / (own < OverdueProbability ? own : 1.0), 1.0);
+    }
+    return evidence;
+}
+
+void EntryDispatch::restartStragglers(TimePoint now, Job &job, std::uint32_t stepIndex)
+{
+    StepState &step = job.steps[stepIndex];
+    const std::map<Endpoint, Duration> longest = longestAges(now, step);
     for (std::uint32_t k = 0; k < step.tasks.size(); ++k) {
         TaskState &task = step.tasks[k];
         if (task.phase != TaskState::Phase::Running || task.stopSent) {
             continue;
         }
-        const AgentView *agent = m_fleet.find(task.agent);
-        const Duration elapsed = now - task.startedAt;
-        const Duration expected = std::max(halfCompleted ? step.longestRunTime : step.expectedRun, task.minimumRunTime);
-        const bool suspect = agent != nullptr && agent->load.suspect;
-        const double limit = suspect ? 1.0 : (halfCompleted ? SiblingOverdueFactor : EstimateOverdueFactor);
-        const bool overdue = elapsed > scaled(expected, limit) + OverdueMargin;
-        const double slowness = agent == nullptr ? 1.0 : agent->health.slowness(now);
-        if (!overdue && slowness < SlowServerFactor) {
+        RunEvidence evidence = evidenceFor(now, job, step, task.agent, task.startedAt, longest);
+        evidence.ageElsewhere = std::max(evidence.ageElsewhere, task.reachedAge);
+        const RestartDecision decision = decideRestart(evidence, distributionOf(job));
+        if (!decision.restart || now + decision.restartTime > job.clientDeadline) {
             continue;
         }
-        const Duration total = std::max(scaled(expected, slowness), overdue ? elapsed * 2 : elapsed);
-        const Duration remaining = total - elapsed;
-        const Duration restartTime = scaled(expected, RestartTimeFactor) + 2 * NetworkTime;
-        if (now + restartTime > job.clientDeadline || ratio(restartTime, remaining) > MaxRestartCostRatio) {
-            continue;
-        }
-        if (slowness < SlowServerFactor) {
-            task.minimumRunTime = elapsed;
-        }
+        task.reachedAge = std::max(task.reachedAge, scaled(evidence.age, 1.0 / evidence.slowness));
         ++m_counters.runsRestarted;
         m_log.write(LogLevel::Info, "run-restarted",
-                    "job=" + idText(job.id) + " task=" + std::to_string(stepIndex) + "." + std::to_string(k)
-                        + " agent=" + toString(task.agent) + " elapsed_ms=" + ms(elapsed) + " expected_ms=" + ms(expected)
-                        + " slowness=" + std::to_string(slowness));
+                    "job=" + idText(job.id) + " task=" + std::to_string(stepIndex) + "." + std::to_string(k) + " agent="
+                        + toString(task.agent) + " elapsed_ms=" + ms(evidence.age) + " expected_ms=" + ms(evidence.expected)
+                        + " remaining_ms=" + ms(decision.remaining) + " restart_ms=" + ms(decision.restartTime)
+                        + " slowness=" + std::to_string(evidence.slowness) + " suspect=" + (evidence.suspect ? "1" : "0")
+                        + " siblings=" + (evidence.siblingsCompleted ? "1" : "0") + " others="
+                        + std::to_string(evidence.otherRunsProbability) + " long=" + std::to_string(decision.longProbability));
         stopRun(now, job, RunRef{TaskRef{job.id, 0, stepIndex, k}, task.run}, task);
     }
 }
 
+void EntryDispatch::recordStepRunTime(TimePoint now, const Job &job, const StepState &step)
+{
+    // The median is not affected by a task on a server that has become slow.
+    std::vector<double> ratios;
+    for (const TaskState &task : step.tasks) {
+        const AgentView *agent = m_fleet.find(task.agent);
+        const double slowness = agent == nullptr ? 1.0 : agent->health.measuredSlowness(now);
+        ratios.push_back(ratio(task.runTime, step.expectedRun) / slowness);
+    }
+    const std::vector<double>::iterator middle = ratios.begin() + static_cast<std::ptrdiff_t>((ratios.size() - 1) / 2);
+    std::nth_element(ratios.begin(), middle, ratios.end());
+    m_distributions[job.queue->name].record(*middle);
+}
+
+void EntryDispatch::recordUnfinishedSteps(TimePoint now, const Job &job)
+{
+    for (const StepState &step : job.steps) {
+        Duration longest{0};
+        for (const TaskState &task : step.tasks) {
+            const AgentView *agent = m_fleet.find(task.agent);
+            if (task.phase == TaskState::Phase::Running && agent != nullptr && !agent->load.suspect) {
+                longest = std::max(longest, scaled(now - task.startedAt, 1.0 / agent->health.measuredSlowness(now)));
+            }
+            longest = std::max(longest, task.reachedAge);
+        }
+        if (longest > step.expectedRun) {
+            m_distributions[job.queue->name].recordUnfinished(ratio(longest, step.expectedRun));
+        }
+    }
+}
+
 void EntryDispatch::updateOverdueRuns(TimePoint now)
 {
     if (now - m_overdueUpdatedAt < OverdueUpdateInterval) {
         return;
     }
     m_overdueUpdatedAt = now;
+    m_overdueLogProbability.clear();
     std::map<Endpoint, RunTimeEvidence> overdue;
     for (Jobs::value_type &item : m_jobs) {
         for (StepState &step : item.second.steps) {
-            addOverdueEvidence(now, step, overdue);
+            addOverdueEvidence(now, item.second, step, overdue);
         }
     }
     for (FleetView::Agents::value_type &item : m_fleet.agents()) {
@@ -86,51 +155,62 @@
     }
 }
 
-void EntryDispatch::addOverdueEvidence(TimePoint now, const StepState &step, std::map<Endpoint, RunTimeEvidence> &overdue)
+void EntryDispatch::addOverdueEvidence(TimePoint now, const Job &job, const StepState &step,
+                                       std::map<Endpoint, RunTimeEvidence> &overdue)
 {
-    // Run times of a step's tasks on one server are correlated: together they give little more evidence than the longest one,
-    // so only that one counts.
-    std::map<Endpoint, Duration> longest;
-    for (const TaskState &task : step.tasks) {
-        if (task.phase == TaskState::Phase::Running && !task.stopSent) {
-            Duration &most = longest[task.agent];
-            most = std::max(most, now - task.startedAt);
-        }
-    }
+    const std::map<Endpoint, Duration> longest = longestAges(now, step);
     const bool hasSiblings = step.longestRunTime > Duration(0);
     const Duration reference = hasSiblings ? step.longestRunTime : step.expectedRun;
     const double weight =
         evidence::UnfinishedRunFactor * (hasSiblings ? evidence::SiblingRunWeight : evidence::DeclaredTimeWeight);
+    const RunTimeDistribution &distribution = distributionOf(job);
     for (const std::pair<const Endpoint, Duration> &item : longest) {
         const double elapsedRatio = ratio(item.second, reference);
         AgentView *agent = m_fleet.find(item.first);
-        if (agent == nullptr || elapsedRatio <= agent->health.slowness(now)) {
+        if (agent == nullptr) {
+            continue;
+        }
+        if (distribution.known()) {
+            const double probability =
+                distribution.probabilityLonger(ratio(item.second, step.expectedRun) / agent->health.measuredSlowness(now));
+            m_overdueLogProbability[item.first] += probability < OverdueProbability ? std::log(probability) : 0.0;
+        }
+        if (elapsedRatio <= agent->health.slowness(now)) {
             continue;
         }
+        // A long task is as late on any server, so it counts only as far as it does not explain the age.
+        const RunEvidence run = evidenceFor(now, job, step, item.first, now - item.second, longest);
+        const double explained =
+            !hasSiblings && distribution.known() && elapsedRatio > OrdinaryRatio ? longTaskProbability(run, distribution) : 0.0;
         RunTimeEvidence &sum = overdue[item.first];
-        sum.logRatios += weight * std::log(elapsedRatio);
-        sum.weights += weight;
-        if (ratio(item.second, step.expectedRun) > StallFactor && item.second > MinStallTime) {
+        sum.logRatios += weight * (1.0 - explained) * std::log(elapsedRatio);
+        sum.weights += weight * (1.0 - explained);
+        if (explained < MaxStallLongProbability && ratio(item.second, std::max(reference, step.expectedRun)) > StallFactor
+            && item.second > MinStallTime) {
             agent->health.recordStall(now);
         }
     }
 }
 
-void EntryDispatch::compareRunTimes(TimePoint now, const StepState &step)
+void EntryDispatch::compareRunTimes(TimePoint now, const Job &job, const StepState &step)
 {
     struct RunTimeSum
     {
         double logTimeSum = 0;
+        double logBaselineSum = 0; ///< Of the run times on a server of ordinary speed.
         std::uint32_t runs = 0;
     };
     std::map<Endpoint, RunTimeSum> sums;
     RunTimeSum combined;
     for (const TaskState &task : step.tasks) {
         const double logTime = std::log(static_cast<double>(std::max<Duration::rep>(task.runTime.count(), 1)));
+        const AgentView *agent = m_fleet.find(task.agent);
+        const double logBaseline = logTime - (agent == nullptr ? 0.0 : std::log(agent->health.measuredSlowness(now)));
         RunTimeSum &serverSum = sums[task.agent];
         serverSum.logTimeSum += logTime;
+        serverSum.logBaselineSum += logBaseline;
         ++serverSum.runs;
-        combined.logTimeSum += logTime;
+        combined.logBaselineSum += logBaseline;
         ++combined.runs;
     }
     for (const std::pair<const Endpoint, RunTimeSum> &item : sums) {
@@ -143,10 +223,20 @@
         const std::uint32_t others = combined.runs - own.runs;
         if (others == 0) {
             const double expected = std::log(static_cast<double>(step.expectedRun.count()));
-            agent->health.recordRunTimeRatio(now, std::exp(meanOwn - expected), evidence::DeclaredTimeWeight);
+            const double ratio = std::exp(meanOwn - expected);
+            const RunTimeDistribution &distribution = distributionOf(job);
+            double explained = 0;
+            if (distribution.known() && ratio > OrdinaryRatio) {
+                RunEvidence run;
+                run.age = scaled(step.expectedRun, ratio);
+                run.expected = step.expectedRun;
+                run.slowness = agent->health.measuredSlowness(now);
+                explained = longTaskProbability(run, distribution);
+            }
+            agent->health.recordRunTimeRatio(now, ratio, evidence::DeclaredTimeWeight * (1.0 - explained));
             continue;
         }
-        const double meanOthers = (combined.logTimeSum - own.logTimeSum) / others;
+        const double meanOthers = (combined.logBaselineSum - own.logBaselineSum) / others;
         agent->health.recordRunTimeRatio(now, std::exp(meanOwn - meanOthers),
                                          evidence::SiblingRunWeight * std::min(own.runs, others));
     }
--- a/src/core/dispatch/fleet_view.h
+++ b/src/core/dispatch/fleet_view.h
@@ -47,6 +47,8 @@
     bool hasOrphanedRuns = false; ///< Runs of a previous incarnation of the agent may still be running.
     bool acknowledgementPending = false; ///< A run event was received and not yet acknowledged.
     std::uint32_t outstandingRuns = 0; ///< Ordered by this entry and not known to have ended.
+    TimePoint ordinaryRunStartedAt; ///< Of the run of this entry that has ended there last and took the usual time.
+    TimePoint ordinaryRunEndedAt;
     std::deque<UnreportedOrder> unreportedOrders; ///< Oldest first.
     ConfigLag configLag;
 
--- a/src/core/dispatch/job.h
+++ b/src/core/dispatch/job.h
@@ -30,8 +30,8 @@
     TimePoint startedAt;
     Duration runTime{0}; ///< Of the completed run.
     std::vector<Endpoint> avoid; ///< Agents on which a run of it did not complete.
-    /// Lower bound of the task's run time: how long a run had lasted on a server that seemed healthy when it was stopped.
-    Duration minimumRunTime{0};
+    /// Longest time that a stopped run had lasted, on a server of ordinary speed.
+    Duration reachedAge{0};
 
     /// Whether an agent may have a run of the task.
     bool isOutstanding() const noexcept
@@ -45,7 +45,8 @@
     Duration expectedRun{0};
     std::vector<TaskState> tasks;
     std::uint32_t done = 0;
-    Duration longestRunTime{0}; ///< Of the completed tasks; tasks of a step have similar run times.
+    Duration longestRunTime{
+        0}; ///< Of the completed tasks, on a server of ordinary speed; tasks of a step have similar run times.
     bool runTimesValid = true; ///< False once a run time includes a delay in the server's responses.
 };
 
--- a/src/core/dispatch/placement.cpp
+++ b/src/core/dispatch/placement.cpp
@@ -16,6 +16,9 @@
 constexpr double RemoteRackFactor = 1.5;
 /// Additional cost of a fully loaded server over an idle one, so that ties go to the less loaded server.
 constexpr double LoadCostUs = 15000.0;
+/// Weight of the expected wait against the run time for all but the most urgent tasks. Their waits grow while they wait, as tasks
+/// with less slack are started before them. With a weight of 1, long tasks wait at fast servers while slow ones are idle.
+constexpr double WaitCostFactor = 1.5;
 /// Cost of a second concurrent run on a server on probation: accepted only if the wait at all other servers is longer than this.
 constexpr double ProbationCostUs = 300000.0;
 /// Cost of a failed run as a multiple of the run time: the failure is detected at the end of the run and the task run again
@@ -89,11 +92,12 @@
 }
 
 /// Cost of assigning a task to a candidate, in microseconds.
-double cost(const Candidate &candidate, Duration wait)
+double cost(const Candidate &candidate, Duration wait, std::uint32_t urgency)
 {
     const double capacity = static_cast<double>(std::max<std::int64_t>(candidate.agent->load.capacity.cpuMilli, 1));
     const double used = 1.0 - static_cast<double>(candidate.free.cpuMilli) / capacity;
-    double total = candidate.fixedCost + static_cast<double>(wait.count()) + LoadCostUs * std::max(used, 0.0);
+    const double waitFactor = urgency == MostUrgent ? 1.0 : WaitCostFactor;
+    double total = candidate.fixedCost + waitFactor * static_cast<double>(wait.count()) + LoadCostUs * std::max(used, 0.0);
     total += candidate.tasks > 0 ? 0.0 : static_cast<double>(AdditionalServerCost.count());
     total += candidate.tasks < candidate.runsAllowed ? 0.0 : ProbationCostUs;
     return total;
@@ -115,7 +119,7 @@
                 continue;
             }
             const Duration wait = candidate.agent->expectedWait(request.need, candidate.free);
-            const double total = cost(candidate, wait);
+            const double total = cost(candidate, wait, request.urgency);
             if (best == nullptr || total < bestCost) {
                 best = &candidate;
                 bestCost = total;
--- a/src/core/dispatch/run_ledger.cpp
+++ b/src/core/dispatch/run_ledger.cpp
@@ -12,6 +12,9 @@
 
 /// Lower bound of the remaining run time, as a fraction of the estimate; it applies to runs that exceed their estimate.
 constexpr double MinRemainingShare = 0.25;
+/// Runs that exceed their estimate by this factor are mostly those of long jobs. They take several times the estimate, but
+/// delay the release of capacity less than their share of it, as others end meanwhile: they count with the whole estimate.
+constexpr double OverdueFactor = 1.5;
 
 } // namespace
 
@@ -121,7 +124,8 @@
         }
         const double elapsed =
             record.state == RunRecord::State::Running ? static_cast<double>((now - record.startedAt).count()) : 0.0;
-        load.runningWork += cpu * std::max(estimate - elapsed, MinRemainingShare * estimate);
+        const double minRemaining = elapsed > OverdueFactor * estimate ? estimate : MinRemainingShare * estimate;
+        load.runningWork += cpu * std::max(estimate - elapsed, minRemaining);
     }
 }
 
--- a/src/core/dispatch/server_health.cpp
+++ b/src/core/dispatch/server_health.cpp
@@ -83,4 +83,10 @@
     return std::exp(logRatios / (m_evidence.weights * retained + m_overdue.weights + PriorWeight));
 }
 
+double ServerHealth::measuredSlowness(TimePoint now) const noexcept
+{
+    const double retained = decayFactor(now);
+    return std::exp(m_evidence.logRatios * retained / (m_evidence.weights * retained + PriorWeight));
+}
+
 } // namespace cuminscale::dispatch
--- a/src/core/dispatch/server_health.h
+++ b/src/core/dispatch/server_health.h
@@ -51,6 +51,9 @@
     /// Expected run time as a multiple of that on a healthy server.
     double slowness(TimePoint now) const noexcept;
 
+    /// The same without the evidence from unfinished runs.
+    double measuredSlowness(TimePoint now) const noexcept;
+
     /// Whether to send no new work there unless all other servers are unusable or suspect too.
     bool suspect(TimePoint now) const noexcept
     {
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -163,6 +163,7 @@
         {"runs_handed_back", counters.runsHandedBack},
         {"runs_failed", counters.runsFailed},
         {"runs_restarted", counters.runsRestarted},
+        {"work_discarded_core_seconds", counters.discardedMilliCoreMs / 1'000'000},
         {"orders_repeated", counters.ordersRepeated},
         {"connections_replaced", counters.connectionsReplaced},
         {"configs_from_peers", counters.configsFromPeers},
--- a/tests/dispatch_simulation.cpp
+++ b/tests/dispatch_simulation.cpp
@@ -194,13 +194,17 @@
     void killCoordinator(const JobId &id);
     /// Starts the next incarnation of a server that is down.
     void restartServer(Server &server);
+    /// Schedules the end of a run in progress by its endsAt.
+    void scheduleRunEnd(Server &server, const TaskRef &task, Duration runDuration);
+    /// Changes the factor on the run times of a server, for runs in progress too.
+    void changeSpeed(Server &server, double factor);
     /// Records the start of a deadly task and crashes the server at once or within a few milliseconds.
     void startDeadlyTask(Server &server, const TaskRef &task);
     /// Draws whether a new job is deadly, and which of its tasks are.
     void drawDeadlyTasks(ClientJob &job, std::uint32_t tasks);
     /// Schedules SimulationSettings::serverCrashes.
     void scheduleServerCrashes();
-    /// Schedules SimulationSettings::entryKills and agentFaults.
+    /// Schedules SimulationSettings::entryKills, agentFaults and slowdowns.
     void scheduleFaults();
     void injectAgentFault(const ScheduledAgentFault &fault);
     /// Injects a random process fault and schedules the next one.
@@ -298,6 +302,8 @@
         RunRef ref;
         std::int64_t cpu = 0;
         TimePoint endsAt;
+        TimePoint startedAt;
+        bool willFail = false;
         bool stopping = false;
         std::uint64_t serial = 0; ///< Distinguishes the timers of this run from those of later runs of the task.
     };
@@ -323,6 +329,7 @@
     std::map<std::uint64_t, Action> openCalls; ///< By call number: tells the caller that the connection broke.
 
     double clockRate = 1.0;
+    double slowdown = 1.0; ///< By SimulationSettings::slowdowns.
     TimePoint cutUntil; ///< Until then, its agent can't reach it.
     TimePoint stopsLostUntil; ///< As in ScheduledAgentFault.
     TimePoint stopsLateUntil; ///< As in ScheduledAgentFault.
@@ -724,13 +731,14 @@
             const std::map<std::size_t, double>::const_iterator factorEntry = sim.m_settings.runTimeFactors.find(server.index);
             const bool nominalSpeed = factorEntry == sim.m_settings.runTimeFactors.end()
                 || sim.m_now > TimePoint(seconds(1000)) + sim.m_settings.runTimeFactorsDuration;
-            const double factor = nominalSpeed ? 1.0 : factorEntry->second;
+            const double factor = (nominalSpeed ? 1.0 : factorEntry->second) * server.slowdown;
             const Duration runDuration = Duration(static_cast<std::int64_t>(
                 static_cast<double>(sim.randomDuration(job.runTime * 8 / 10, job.runTime * 12 / 10).count()) * factor));
             const bool willFail = sim.m_settings.failingServers.count(server.index) > 0
                 || sim.randomFraction() < sim.m_settings.faults.failedRunRate;
             const std::uint64_t serial = ++server.serial;
-            server.running[order.run.task] = Server::Run{order.run, taskCpuMilli, sim.m_now + runDuration, false, serial};
+            server.running[order.run.task] =
+                Server::Run{order.run, taskCpuMilli, sim.m_now + runDuration, sim.m_now, willFail, false, serial};
             server.extendLease(sim.m_now, order.notAfter.value());
             if (sim.m_settings.log != nullptr) {
                 sim.m_log.write(LogLevel::Info, "RUN",
@@ -744,25 +752,10 @@
                 sim.startDeadlyTask(server, order.run.task);
                 return server.up ? respond(StartAnswer::Accepted) : Action();
             }
-            sim.scheduleAfter(
-                willFail ? runDuration / 4 : runDuration,
-                [&sim, &server, run = order.run, serial, willFail, taskCpuMilli, runDuration]() {
-                    const std::map<TaskRef, Server::Run>::iterator it = server.running.find(run.task);
-                    if (it == server.running.end() || it->second.serial != serial) {
-                        return;
-                    }
-                    server.running.erase(it);
-                    server.ended.push_back(FinishedRun{++server.lastEndNumber, run, willFail ? RunEnd::Failed : RunEnd::Done});
-                    ++sim.m_result.finishedRuns;
-                    sim.m_result.completedRuns += willFail ? 0 : 1;
-                    sim.m_result.usedMilliCoreSeconds +=
-                        static_cast<double>(taskCpuMilli) * static_cast<double>(runDuration.count()) / 1e6;
-                    std::vector<std::function<void()>> polls = std::move(server.pendingPolls);
-                    server.pendingPolls.clear();
-                    for (const std::function<void()> &notifyPoll : polls) {
-                        notifyPoll();
-                    }
-                });
+            if (willFail) {
+                server.running[order.run.task].endsAt = sim.m_now + runDuration / 4;
+            }
+            sim.scheduleRunEnd(server, order.run.task, runDuration);
             return respond(StartAnswer::Accepted);
         },
         CallFailure{
@@ -773,6 +766,40 @@
         milliseconds(200));
 }
 
+void DispatchSimulation::Impl::scheduleRunEnd(Server &server, const TaskRef &task, Duration runDuration)
+{
+    const Server::Run &scheduled = server.running.at(task);
+    scheduleAt(scheduled.endsAt, [this, &server, task, serial = scheduled.serial, endsAt = scheduled.endsAt, runDuration]() {
+        const std::map<TaskRef, Server::Run>::iterator it = server.running.find(task);
+        if (it == server.running.end() || it->second.serial != serial || it->second.endsAt != endsAt) {
+            return;
+        }
+        const Server::Run run = it->second;
+        server.running.erase(it);
+        server.ended.push_back(FinishedRun{++server.lastEndNumber, run.ref, run.willFail ? RunEnd::Failed : RunEnd::Done});
+        ++m_result.finishedRuns;
+        m_result.completedRuns += run.willFail ? 0 : 1;
+        m_result.usedMilliCoreSeconds += static_cast<double>(run.cpu) * static_cast<double>(runDuration.count()) / 1e6;
+        std::vector<std::function<void()>> polls = std::move(server.pendingPolls);
+        server.pendingPolls.clear();
+        for (const std::function<void()> &notifyPoll : polls) {
+            notifyPoll();
+        }
+    });
+}
+
+void DispatchSimulation::Impl::changeSpeed(Server &server, double factor)
+{
+    const double change = factor / server.slowdown;
+    server.slowdown = factor;
+    for (std::pair<const TaskRef, Server::Run> &item : server.running) {
+        Server::Run &run = item.second;
+        const Duration remaining(static_cast<std::int64_t>(static_cast<double>((run.endsAt - m_now).count()) * change));
+        run.endsAt = m_now + remaining;
+        scheduleRunEnd(server, item.first, run.endsAt - run.startedAt);
+    }
+}
+
 void DispatchSimulation::Impl::Process::stop(const RunStop &order)
 {
     const Action onUnacknowledged = [this, order]() {
@@ -802,6 +829,8 @@
                 simulation.scheduleAfter(simulation.m_settings.stopDuration, [this, &server, run = order.run, serial]() {
                     const std::map<TaskRef, Server::Run>::iterator stopped = server.running.find(run.task);
                     if (stopped != server.running.end() && stopped->second.serial == serial) {
+                        simulation.m_result.discardedMilliCoreSeconds += static_cast<double>(stopped->second.cpu)
+                            * static_cast<double>((simulation.m_now - stopped->second.startedAt).count()) / 1e6;
                         server.running.erase(stopped);
                         server.ended.push_back(FinishedRun{++server.lastEndNumber, run, RunEnd::Stopped});
                         ++simulation.m_result.finishedRuns;
@@ -1082,6 +1111,12 @@
     for (const ScheduledAgentFault &fault : m_settings.agentFaults) {
         scheduleAfter(Duration(static_cast<std::int64_t>(fault.second * 1e6)), [this, fault]() { injectAgentFault(fault); });
     }
+    for (const ScheduledSlowdown &slowdown : m_settings.slowdowns) {
+        Server &server = *m_servers.at(slowdown.server);
+        const Duration begin(static_cast<std::int64_t>(slowdown.second * 1e6));
+        scheduleAfter(begin, [this, &server, slowdown]() { changeSpeed(server, slowdown.factor); });
+        scheduleAfter(begin + slowdown.length, [this, &server]() { changeSpeed(server, 1.0); });
+    }
 }
 
 void DispatchSimulation::Impl::injectAgentFault(const ScheduledAgentFault &fault)
@@ -1237,6 +1272,9 @@
     step.need = Resources{kind.taskCpuMilli, 64, 0};
     step.estimate =
         Duration(static_cast<std::int64_t>(static_cast<double>(job->runTime.count()) * logNormalFactor(kind.declaredTimeSigma)));
+    if (kind.longShare > 0 && randomFraction() < kind.longShare) {
+        job->runTime = Duration(static_cast<std::int64_t>(static_cast<double>(job->runTime.count()) * kind.longFactor));
+    }
     spec.steps.push_back(step);
     job->firstSubmittedAt = m_now;
     drawDeadlyTasks(*job, step.count);
--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -44,6 +44,9 @@
     /// Fraction of the jobs submitted between deadlyFrom and deadlyUntil that are deadly. A server that starts a deadly task
     /// crashes at once or within 10 ms. Either all tasks of such a job are deadly or only one of them is.
     double deadlyShare = 0;
+    /// Fraction of the jobs that take longFactor times as long, on every server. Their declared times don't show it.
+    double longShare = 0;
+    double longFactor = 7;
 };
 
 /// A time at which a backend server crashes on its own.
@@ -79,6 +82,15 @@
     Duration length{0};
 };
 
+/// A time in which runs on a backend server proceed more slowly, including those in progress.
+struct ScheduledSlowdown
+{
+    double second = 0; ///< Since the start.
+    std::size_t server = 0;
+    Duration length{0};
+    double factor = 5; ///< Multiplies run times.
+};
+
 /// Size, load and faults of a simulation.
 struct SimulationSettings
 {
@@ -101,6 +113,7 @@
     Duration stopDuration = milliseconds(40); ///< Time from the order to stop a run until it has ended.
     std::map<std::size_t, double> runTimeFactors; ///< By server index; multiplies the run times on that server.
     Duration runTimeFactorsDuration = seconds(1000); ///< runTimeFactors apply for this long from the start.
+    std::vector<ScheduledSlowdown> slowdowns; ///< In addition to runTimeFactors; those of one server don't overlap.
     /// By server index: seconds after the start from which the server does not respond; its runs are lost.
     std::map<std::size_t, double> unresponsiveFrom;
     std::set<std::size_t> failingServers; ///< Servers on which every run fails.
@@ -161,6 +174,7 @@
     Duration longestJob{0}; ///< Longest time from the first submission to the success of a job.
     std::vector<std::string> violations; ///< Violated invariants, with time and task.
     std::uint64_t stoppedRuns = 0;
+    double discardedMilliCoreSeconds = 0; ///< CPU demand times elapsed time, over all stopped runs.
     std::uint64_t lapsedRuns = 0; ///< Runs that ended because the lease expired.
     double usedMilliCoreSeconds = 0; ///< CPU demand times full run time, over all runs that completed or failed.
     std::map<std::size_t, std::uint64_t> startsByServer;
--- a/tests/dispatch_tests.cpp
+++ b/tests/dispatch_tests.cpp
@@ -66,6 +66,34 @@
     return settings;
 }
 
+/// Mixed load in which three jobs in a hundred take seven times as long, on servers of three speeds. With `faults`, two servers
+/// are slow for some seconds, and one stands still.
+SimulationSettings longTailSettings(std::uint64_t seed, bool faults)
+{
+    SimulationSettings settings = mixedSettings();
+    settings.seed = seed;
+    settings.entries = 5;
+    settings.agents = 18;
+    settings.serverCpuMilli = 64000;
+    settings.jobsPerSecond = 180;
+    for (std::size_t i = 0; i < settings.agents; ++i) {
+        settings.runTimeFactors[i] = i % 3 == 0 ? 0.6 : (i % 3 == 1 ? 1.0 : 1.6);
+    }
+    settings.kinds = {
+        JobKind{"peek", 0.244, 8, milliseconds(51), 0.4, 0.4, 6200, 0},
+        JobKind{"close", 0.711, 2, milliseconds(170), 0.4, 0.4, 6200, 1},
+        JobKind{"push", 0.045, 4, milliseconds(760), 0.4, 0.4, 6200, 2},
+    };
+    for (JobKind &kind : settings.kinds) {
+        kind.longShare = 0.03;
+    }
+    if (faults) {
+        settings.slowdowns = {ScheduledSlowdown{12, 1, seconds(6), 5}, ScheduledSlowdown{20, 3, seconds(6), 5},
+                              ScheduledSlowdown{30, 7, seconds(3), 1000}};
+    }
+    return settings;
+}
+
 } // namespace
 
 TEST_CASE("One seed with its decision log", "[.trace]")
@@ -320,6 +348,49 @@
     }
 }
 
+TEST_CASE("Long jobs on servers of three speeds, with figures", "[.trace]")
+{
+    for (const bool faults : {false, true}) {
+        for (const double factor : {1.0, 1.4}) {
+            double discarded = 0;
+            double used = 0;
+            std::uint64_t stopped = 0;
+            std::uint64_t starts = 0;
+            std::map<std::string, JobKindResult> kinds;
+            for (std::uint64_t seed = 1; seed <= numberFromEnvironment("SEEDS", 4); ++seed) {
+                SimulationSettings settings = longTailSettings(seed, faults);
+                settings.loadFactor = [factor](double) {
+                    return factor;
+                };
+                if (numberFromEnvironment("LOG", 0) > 0) {
+                    settings.log = &std::cout;
+                }
+                const SimulationResult result = runSimulation(settings, seconds(40));
+                requireNoViolations(result, seed);
+                discarded += result.discardedMilliCoreSeconds / 1000;
+                used += result.usedMilliCoreSeconds / 1000;
+                stopped += result.stoppedRuns;
+                starts += result.starts;
+                for (const std::pair<const std::string, JobKindResult> &kind : result.kinds) {
+                    kinds[kind.first].submitted += kind.second.submitted;
+                    kinds[kind.first].inTime += kind.second.inTime;
+                    kinds[kind.first].refused += kind.second.refused;
+                    kinds["all"].submitted += kind.second.submitted;
+                    kinds["all"].inTime += kind.second.inTime;
+                    kinds["all"].refused += kind.second.refused;
+                }
+            }
+            std::cout << "faults " << faults << " load " << factor << " starts " << starts << " stopped " << stopped
+                      << " used core-s " << used << " discarded core-s " << discarded;
+            for (const std::pair<const std::string, JobKindResult> &kind : kinds) {
+                std::cout << "  " << kind.first << " in time " << share(kind.second.inTime, kind.second.submitted) << " refused "
+                          << share(kind.second.refused, kind.second.submitted);
+            }
+            std::cout << std::endl;
+        }
+    }
+}
+
 TEST_CASE("Message count with 54 servers and 8 entries", "[.trace]")
 {
     SimulationSettings settings = mixedSettings();
