Entries keep lists of the fleet's agents in the store

Cause: an entry that has just started does not know which agents there are, so it can't tell whether all of them have reported.

Change: each entry writes the agents that it knows to fleet/agents/ENTRY under the lease of its registration, 500 ms after a change and at most once a second, and in the call that registers it if the list is known by then. A starting entry reads the prefix once, repeated until it has an answer or has been up for 2 s. Agents that are listed get a message at once and stay in the list until they have been silent for 10 s, so that an entry does not replace a complete list by the few agents that it has heard so far. Malformed items are ignored and logged. Metric admission_evidence_agents.

Result: platform_tests pass with two new cases.

--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -58,8 +58,12 @@
     handlers.onEntries = [this](const std::vector<Endpoint> &entries) {
         m_dispatch->addEntries(now(), entries);
     };
+    handlers.onAgents = [this](const std::vector<Endpoint> &agents) {
+        m_dispatch->addListedAgents(now(), agents);
+    };
     m_store = std::make_unique<platform::StoreClient>(m_context, settings.store, m_log, std::move(handlers));
     m_store->followConfig();
+    m_store->readAgentLists();
     m_store->registerEntry(settings.node, m_self.endpoint);
 }
 
@@ -97,6 +101,9 @@
 {
     m_dispatch->cpuOverloadDetector().recordTick(time, lag);
     m_dispatch->onTick(time);
+    if (const std::optional<std::vector<Endpoint>> agents = m_dispatch->agentListDue(time)) {
+        m_store->writeAgentList(*agents);
+    }
 }
 
 void EntryProcess::onPeerMessage(const dispatch::Envelope &envelope)
@@ -173,6 +180,7 @@
         {"config_version", m_dispatch->config().version},
         {"jobs_unanswered", m_dispatch->unanswered()},
         {"agents_usable", m_dispatch->usableAgents(time)},
+        {"admission_evidence_agents", m_dispatch->admissionEvidenceAgents()},
     };
     MetricsText metrics;
     for (const std::pair<const char *, std::uint64_t> &row : rows) {
--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -133,6 +133,11 @@
     int revision = 10;
     int watchCount = 0;
     int writeCount = 0;
+    std::string agentListValue; ///< Of the entry "n", as written last.
+    int agentListWrites = 0;
+    int agentListReads = 0;
+    std::string agentListItems; ///< Items under fleet/agents/.
+    std::set<std::int64_t> leasesUsed;
     int leaseCount = 0;
     int endedLeases = 0;
     bool unavailable = false; ///< Every request is answered with 503.
@@ -193,8 +198,16 @@
         } else if (path == "/kv-txn") {
             ++writeCount;
             const boost::json::value body = boost::json::parse(request.body);
-            m_entryValue = body.at("set_keys").at(0).at("value").as_string().c_str();
+            for (const boost::json::value &item : body.at("set_keys").as_array()) {
+                const bool isAgentList = item.at("key").as_string() == "fleet/agents/n";
+                (isAgentList ? agentListValue : m_entryValue) = item.at("value").as_string().c_str();
+                agentListWrites += isAgentList ? 1 : 0;
+                leasesUsed.insert(item.at("lease").as_int64());
+            }
             respond(exchange, 200, R"({"revision":11})");
+        } else if (path == "/kv-range" && request.target.find("fleet/agents/") != std::string::npos) {
+            ++agentListReads;
+            respond(exchange, 200, R"({"items":[)" + agentListItems + R"(],"has_more":false,)" + revisionField);
         } else if (path == "/kv-range") {
             const std::string entryItem =
                 entryKeyMissing ? "" : R"({"key":"cuminscale/entries/n","value":")" + m_entryValue + "\"}";
@@ -543,6 +556,66 @@
     REQUIRE(runUntil(context, [&]() { return store.writeCount == 2; }));
 }
 
+TEST_CASE("An entry writes the agents that it knows under the lease of its registration")
+{
+    boost::asio::io_context context;
+    FakeStore store(context);
+    RecordingClient recording(context, store);
+    const Endpoint one{Loopback, 71};
+    const Endpoint two{Loopback, 72};
+    recording.client.writeAgentList({one, two});
+    recording.client.registerEntry("n", Endpoint{Loopback, 77});
+    // A list that is known before costs no call of its own.
+    REQUIRE(runUntil(context, [&]() { return store.agentListWrites == 1; }));
+    REQUIRE(store.writeCount == 1);
+    REQUIRE(decodeBase64(store.agentListValue) == toString(one) + "\n" + toString(two));
+    REQUIRE(store.leasesUsed == std::set<std::int64_t>{5});
+    recording.client.listEntries();
+    REQUIRE(runUntil(context, [&]() { return !recording.entries.empty(); }));
+    recording.client.writeAgentList({two});
+    REQUIRE(runUntil(context, [&]() { return store.agentListWrites == 2; }));
+    REQUIRE(decodeBase64(store.agentListValue) == toString(two));
+    store.unavailable = true;
+    recording.client.writeAgentList({one});
+    const std::uint64_t failures = recording.client.failures();
+    REQUIRE(runUntil(context, [&]() { return recording.client.failures() > failures; }));
+    store.unavailable = false;
+    REQUIRE(runUntil(context, [&]() { return decodeBase64(store.agentListValue) == toString(one); }));
+}
+
+TEST_CASE("A starting entry reads the lists of agents once it gets an answer, and ignores malformed items")
+{
+    boost::asio::io_context context;
+    FakeStore store(context);
+    RecordingLog log;
+    std::vector<std::vector<Endpoint>> answers;
+    StoreClient::Handlers handlers;
+    handlers.onConfigDocument = [](const std::string &) {
+    };
+    handlers.onEntries = [](const std::vector<Endpoint> &) {
+    };
+    handlers.onAgents = [&answers](const std::vector<Endpoint> &agents) {
+        answers.push_back(agents);
+    };
+    const Endpoint one{Loopback, 71};
+    const Endpoint two{Loopback, 72};
+    const auto item = [](const std::string &value) {
+        return R"({"key":"fleet/agents/a","value":")" + encodeBase64(value) + R"("})";
+    };
+    store.agentListItems = item(toString(two) + "\n" + toString(one)) + "," + item(toString(two) + "\nnonsense") + "," + item("")
+        + R"(,{"key":"fleet/agents/b","value":"%"},{"key":"fleet/agents/c"},5)";
+    store.unavailable = true;
+    StoreClient client(context, store.endpoint(), log, handlers);
+    client.readAgentLists();
+    REQUIRE(runUntil(context, [&]() { return client.failures() >= 1; }));
+    store.unavailable = false;
+    REQUIRE(runUntil(context, [&]() { return !answers.empty(); }));
+    REQUIRE(answers == std::vector<std::vector<Endpoint>>{{one, two}});
+    REQUIRE(store.agentListReads == 1);
+    const std::string all = boost::json::serialize(boost::json::value_from(log.lines));
+    REQUIRE(all.find("agents-odd") != std::string::npos);
+}
+
 TEST_CASE("An announcement with an implausible number, port or label names no server to use")
 {
     const auto accepted = [](const std::string &id, const std::string &path, const std::string &value) {
