Jobs that arrive before admission opens wait in a bounded queue

Cause: an entry that has just started answers 504 to each job for 0.7 s to 2.4 s, and 503 while no agent has reported. Clients don't repeat these requests.

Change: HeldJobs keeps at most EntrySettings::maxHeldJobs jobs by latest start, in the first 2 s after a start or a pause. Held jobs are on the list of active jobs, since a job that is admitted more than 0.3 s after its request could otherwise be unknown to an entry that has just become alive. At the opening they are admitted in slices per tick: those that can be in time first, late ones where no wait is expected, the others are answered 503 under the conditions under which they could start, and 504 otherwise. Agents count as heard 200 ms after the first one: their reports also carry the crashes that keep deadly tasks from being started again.

--- a/src/core/dispatch/entry_cancellation.cpp
+++ b/src/core/dispatch/entry_cancellation.cpp
@@ -95,6 +95,11 @@
         cancelJob(now, it->second);
         return true;
     }
+    // No run of a held job has been ordered, so nobody needs to know that it was here.
+    if (const std::optional<HeldJob> held = m_held.remove(id)) {
+        ++m_counters.cancelled;
+        answerHeldJob(now, *held, JobOutcome::Cancelled, "cancelled");
+    }
     return jobState(id) != JobStatus::State::Unknown;
 }
 
--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -71,6 +71,7 @@
     , m_links(links)
     , m_clients(clients)
     , m_log(log)
+    , m_held(m_settings.maxHeldJobs)
     , m_coordination(m_settings.timing.coordination, now)
     , m_startedAt(now)
     , m_lastTickAt(now)
@@ -108,7 +109,7 @@
 
 bool EntryDispatch::shouldRefuseUnread(TimePoint now, const JobId &id)
 {
-    const bool known = m_jobs.count(id) > 0 || m_joinedJobs.count(id) > 0 || m_endedJobs.count(id) > 0;
+    const bool known = m_jobs.count(id) > 0 || m_joinedJobs.count(id) > 0 || m_endedJobs.count(id) > 0 || m_held.contains(id);
     if (known || !m_cpuOverload.shouldRefuseNext() || remoteCoordinator(now, id) != nullptr) {
         return false;
     }
@@ -152,18 +153,18 @@
     });
 }
 
-const Endpoint *EntryDispatch::unconfirmedBy(TimePoint now, const Job &job) const
+const Endpoint *EntryDispatch::unconfirmedBy(TimePoint now, TimePoint requestedAt, TimePoint listedSince) const
 {
     const std::map<Endpoint, EntryPeer>::const_iterator it =
         std::find_if(m_entries.begin(), m_entries.end(), [&](const std::pair<const Endpoint, EntryPeer> &entry) {
-            return !m_coordination.mayContinue(now, job.requestedAt, job.receivedAt, entry.second.lists);
+            return !m_coordination.mayContinue(now, requestedAt, listedSince, entry.second.lists);
         });
     return it == m_entries.end() ? nullptr : &it->first;
 }
 
 bool EntryDispatch::giveUpIfUnconfirmed(TimePoint now, Job &job)
 {
-    const Endpoint *const other = unconfirmedBy(now, job);
+    const Endpoint *const other = unconfirmedBy(now, job.requestedAt, job.receivedAt);
     if (other == nullptr) {
         return false;
     }
@@ -187,7 +188,7 @@
     submitUntil(now, WaitingClient{client, deadline, now, queue, spec}, id);
 }
 
-void EntryDispatch::submitUntil(TimePoint now, const WaitingClient &waiting, const JobId &id)
+void EntryDispatch::submitUntil(TimePoint now, const WaitingClient &waiting, const JobId &id, const HeldJob *held)
 {
     const ClientTag client = waiting.tag;
     const std::shared_ptr<const QueueRule> &queue = waiting.queue;
@@ -209,6 +210,10 @@
         m_clientJobs[client] = id;
         return;
     }
+    if (HeldJob *const waitingHere = m_held.find(id)) {
+        joinHeldJob(*waitingHere, waiting);
+        return;
+    }
     switch (jobState(id)) {
     case JobStatus::State::Succeeded:
         m_clients.answer(client, JobOutcome::Succeeded, "ended before", Duration(0));
@@ -254,21 +259,14 @@
         refuse(now, client, id, *queue, "too-many-jobs");
         return;
     }
-    // The servers for later steps may be busy or draining now, but a step that no server can hold would waste the earlier ones.
-    const bool servable = std::all_of(spec->steps.begin(), spec->steps.end(), [&](const StepSpec &step) {
-        return m_fleet.hasServerFor(queue->service, step.need, step.requiredLabel);
-    });
-    if (!servable) {
-        refuse(now, client, id, *queue, "no-server-fits");
-        return;
-    }
     Job job;
     job.id = id;
     job.queue = queue;
     job.spec = spec;
     job.payload = std::shared_ptr<const std::string>(spec, &spec->payload);
     job.clients.push_back(client);
-    job.receivedAt = now;
+    job.receivedAt = held == nullptr ? now : held->heldSince;
+    job.lateAllowed = held != nullptr && held->latestStart < now;
     job.requestedAt = waiting.requestedAt;
     job.clientDeadline = waiting.deadline;
     const std::unordered_map<JobId, EndedJob, JobIdHash>::const_iterator ended = m_endedJobs.find(id);
@@ -280,12 +278,24 @@
         state.tasks.resize(step.count, task);
         job.steps.push_back(std::move(state));
     }
+    const Duration path = criticalPath(*spec, job.steps);
+    job.objectiveDeadline = job.receivedAt + scaled(path, queue->workFactor) + queue->latencyObjective;
+    if (held == nullptr && hold(now, waiting, job, path)) {
+        return;
+    }
+    // The servers for later steps may be busy or draining now, but a step that no server can hold would waste the earlier ones.
+    const bool servable = std::all_of(spec->steps.begin(), spec->steps.end(), [&](const StepSpec &step) {
+        return m_fleet.hasServerFor(queue->service, step.need, step.requiredLabel);
+    });
+    if (!servable) {
+        refuse(now, client, id, *queue, "no-server-fits");
+        return;
+    }
     m_isolation.recordDemand(now, queue->service, queue->name, coreSeconds(job));
     if (m_loadShedding.shouldShed(now, queue->name, queue->urgency, coreSeconds(job), m_fleet.backlog(queue->service, now))) {
         refuse(now, client, id, *queue, "shed");
         return;
     }
-    job.objectiveDeadline = now + scaled(criticalPath(*spec, job.steps), queue->workFactor) + queue->latencyObjective;
     admit(now, std::move(job));
 }
 
@@ -486,6 +496,9 @@
         }
         return;
     }
+    if (removeHeldClient(id, client)) {
+        return;
+    }
     const Jobs::iterator job = m_jobs.find(id);
     if (job == m_jobs.end()) {
         return;
@@ -508,6 +521,7 @@
 void EntryDispatch::setShutdownDeadline(TimePoint deadline)
 {
     m_shutdownDeadline = deadline;
+    m_held.limitDeadlines(deadline);
     for (Jobs::value_type &item : m_jobs) {
         item.second.clientDeadline = std::min(item.second.clientDeadline, deadline);
         for (WaitingClient &client : item.second.resubmittedClients) {
@@ -524,6 +538,9 @@
 void EntryDispatch::giveUpUnanswered(TimePoint now)
 {
     answerUnconfirmedCancellations();
+    for (const HeldJob &held : m_held.takeAll()) {
+        answerHeldJob(now, held, JobOutcome::GivenUp, "shutdown");
+    }
     std::vector<JobId> ids;
     std::vector<ClientTag> others;
     for (Jobs::value_type &item : m_jobs) {
@@ -599,6 +616,7 @@
         checkRuns(now, it->second);
         closeIfNoRunsLeft(now, id);
     }
+    releaseHeldJobs(now);
     while (!m_endedOrder.empty() && now - m_endedOrder.front().first > m_settings.timing.endedJobRetention) {
         evictOldestEndedJob();
     }
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -5,6 +5,7 @@
 #include "core/dispatch/coordination.h"
 #include "core/dispatch/cpu_overload_detector.h"
 #include "core/dispatch/crash_history.h"
+#include "core/dispatch/held_jobs.h"
 #include "core/dispatch/job.h"
 #include "core/dispatch/latency_histogram.h"
 #include "core/dispatch/load_shedding.h"
@@ -103,6 +104,8 @@
     std::uint64_t refusedLater = 0; ///< After admission, with no run started.
     std::uint64_t refusedUnread = 0; ///< Before parsing, under CPU overload.
     std::uint64_t notAdmitted = 0; ///< Submissions not admitted because this entry may have missed lists of active jobs.
+    std::uint64_t held = 0; ///< Submissions that had to wait until this entry might admit jobs.
+    std::uint64_t heldAdmitted = 0; ///< Those of them that were admitted.
     std::uint64_t unconfirmed = 0; ///< Jobs given up because a live entry did not confirm a list that contains them.
     std::uint64_t clientsGone = 0; ///< Jobs ended because all their clients disconnected.
     std::uint64_t abandoned = 0; ///< Submissions read from a connection that the client had closed or reset before.
@@ -131,6 +134,7 @@
 ///
 /// The class has no clock, sockets or threads: callers pass the current time. entry_dispatch.cpp implements the client-facing
 /// side of jobs, entry_cancellation.cpp their cancellation, entry_joined_jobs.cpp jobs that another entry coordinates,
+/// entry_held_jobs.cpp jobs that wait for admission to open,
 /// entry_runs.cpp the placement of runs, entry_crashes.cpp the consequences of server crashes, entry_supervision.cpp the
 /// detection of slow runs and servers, and entry_peers.cpp the protocol with agents and other entries.
 class EntryDispatch
@@ -304,6 +308,14 @@
         std::vector<Waiting> waiting;
     };
 
+    /// What has become of the held jobs since admission opened.
+    struct HeldRelease
+    {
+        std::uint64_t admitted = 0;
+        std::uint64_t refused = 0;
+        Duration oldest{0};
+    };
+
     using Jobs = std::unordered_map<JobId, Job, JobIdHash>;
 
     /// Records a process pause when the last tick is longer ago than pauseThreshold.
@@ -345,8 +357,24 @@
     /// report: `state` to that entry, Transferred to the others.
     JobStatus::State transfer(TimePoint now, const Endpoint &to, const JobId &id, JobStatus::State state);
     void handleJobStatus(TimePoint now, const Endpoint &from, const JobStatus &status);
-    /// Submits a job whose client waits until its deadline.
-    void submitUntil(TimePoint now, const WaitingClient &client, const JobId &id);
+    /// Submits a job whose client waits until its deadline. `held` is the job's state in the queue of held jobs if it has just
+    /// left it.
+    void submitUntil(TimePoint now, const WaitingClient &client, const JobId &id, const HeldJob *held = nullptr);
+    /// Whether this entry has just started or resumed after a pause, so that it will hear the other processes shortly.
+    bool starting(TimePoint now) const;
+    /// Whether jobs of a service can't be admitted now and probably can shortly: lists of other entries are missing, or no agent
+    /// has reported since the start.
+    bool awaitsAdmission(TimePoint now, const std::string &service) const;
+    /// Holds a new job if it has to wait for admission to open or for held jobs that must start earlier. Returns whether it did.
+    bool hold(TimePoint now, const WaitingClient &waiting, const Job &job, Duration criticalPath);
+    void joinHeldJob(HeldJob &held, const WaitingClient &client);
+    void answerHeldJob(TimePoint now, const HeldJob &held, JobOutcome answer, const char *reason);
+    /// Submits a job that has left the queue, for all its clients.
+    void releaseHeldJob(TimePoint now, const HeldJob &held);
+    /// Answers the held jobs that have waited for too long, and releases some of the others if admission is open.
+    void releaseHeldJobs(TimePoint now);
+    /// Removes a client that no longer waits for a held job. Returns false if the job is not held.
+    bool removeHeldClient(const JobId &id, ClientTag client);
     /// Submits a job for a client that has waited for the end of its former submission, here or at another entry, with the rule
     /// of the configuration in force. A client whose deadline has passed, or whose queue is gone, is answered.
     void resubmit(TimePoint now, const WaitingClient &client, const JobId &id);
@@ -405,8 +433,9 @@
     EntryReport makeHeartbeat(TimePoint now, EntryListState &sentList, const std::vector<EntryAddress> &entries) const;
     std::vector<JobKey> activeJobs() const;
     std::vector<EntryAddress> knownEntries() const;
-    /// The live entry that has not confirmed in time that the job is active here; null if there is none.
-    const Endpoint *unconfirmedBy(TimePoint now, const Job &job) const;
+    /// The live entry that has not confirmed in time that a job is active here, which was requested and listed at these times;
+    /// null if there is none.
+    const Endpoint *unconfirmedBy(TimePoint now, TimePoint requestedAt, TimePoint listedSince) const;
     /// Gives up a job that another entry may start. Returns whether it did.
     bool giveUpIfUnconfirmed(TimePoint now, Job &job);
     /// Takes over the list of active jobs of another entry, unless a later one has arrived before.
@@ -449,6 +478,9 @@
     CpuOverloadDetector m_cpuOverload;
     std::map<Endpoint, EntryPeer> m_entries;
     Jobs m_jobs;
+    HeldJobs m_held;
+    HeldRelease m_heldRelease;
+    AgentArrival m_agentArrival;
     std::unordered_map<JobId, JoinedJob, JobIdHash> m_joinedJobs;
     std::unordered_map<JobId, Transfer, JobIdHash> m_transfers;
     /// Cancellations requested here, also after they have been answered, for entries that restart or are heard again.
--- a/src/core/dispatch/entry_joined_jobs.cpp
+++ b/src/core/dispatch/entry_joined_jobs.cpp
@@ -77,6 +77,10 @@
         const bool otherStarts = joined->second.coordinator == from && from < m_settings.self.endpoint;
         return otherStarts ? JobStatus::State::Unknown : JobStatus::State::Active;
     }
+    if (m_held.contains(id)) {
+        // The other entry repeats its request, and learns then whether the job was admitted.
+        return JobStatus::State::Active;
+    }
     if (job == m_jobs.end()) {
         return state == JobStatus::State::Unknown ? transfer(now, from, id, state) : state;
     }
--- a/src/core/dispatch/entry_peers.cpp
+++ b/src/core/dispatch/entry_peers.cpp
@@ -224,8 +224,9 @@
 
 std::vector<JobKey> EntryDispatch::activeJobs() const
 {
-    std::vector<JobKey> jobs;
-    jobs.reserve(m_jobs.size());
+    // Held jobs are listed as well, so that a client's second request joins them however long they have been held.
+    std::vector<JobKey> jobs = m_held.keys();
+    jobs.reserve(jobs.size() + m_jobs.size());
     for (const Jobs::value_type &item : m_jobs) {
         jobs.push_back(item.first.key());
     }
--- a/src/core/dispatch/entry_runs.cpp
+++ b/src/core/dispatch/entry_runs.cpp
@@ -75,18 +75,26 @@
         job.reason = "no-usable-server";
         return false;
     }
+    // A job that was held until it was late only gets capacity that is free: jobs that can be in time come first.
+    const bool mustNotWait = job.lateAllowed && !job.started;
+    if (mustNotWait
+        && std::any_of(places.begin(), places.end(), [](const Placement &place) { return place.wait > Duration(0); })) {
+        job.reason = "held-until-late";
+        return false;
+    }
     Duration slowest{0};
     for (const Placement &place : places) {
         slowest = std::max(slowest, place.finish + std::max(place.roundTrip, NetworkTime));
     }
     // A job that has not started is refused if it would miss its objective: the capacity can serve another job in time. A job
     // that has started continues for as long as its client waits.
-    const TimePoint limit = job.started ? job.clientDeadline : std::min(job.objectiveDeadline, job.clientDeadline);
+    const bool mayBeLate = job.started || job.lateAllowed;
+    const TimePoint limit = mayBeLate ? job.clientDeadline : std::min(job.objectiveDeadline, job.clientDeadline);
     if (now + slowest > limit) {
         job.reason = job.started ? "no-time-left" : "overloaded";
         return false;
     }
-    if (unconfirmedBy(now, job) != nullptr) {
+    if (unconfirmedBy(now, job.requestedAt, job.receivedAt) != nullptr) {
         job.heldBack = !job.admitted;
         job.reason = "unconfirmed";
         return false;
--- a/src/core/dispatch/job.h
+++ b/src/core/dispatch/job.h
@@ -73,12 +73,13 @@
     /// Given up because another coordinator has runs of it. Clients that have resubmitted it have to wait for these as well.
     bool runsElsewhere = false;
     std::vector<Endpoint> joinedEntries; ///< Other entries to notify of the outcome.
-    TimePoint receivedAt;
+    TimePoint receivedAt; ///< Since when this entry lists it as active, including the time for which it was held.
     /// When the request of the first client arrived; earlier than `receivedAt` if another entry coordinated the job at first.
     TimePoint requestedAt;
     TimePoint objectiveDeadline; ///< From the queue's latency objective; a later success counts as late.
     TimePoint clientDeadline; ///< Latest time of an answer, shortly before the last client times out.
     std::vector<StepState> steps;
+    bool lateAllowed = false; ///< It was held until it was late, and may start on servers that are free.
     bool admitted = false; ///< Tasks have been assigned. Before, the job may be refused.
     bool heldBack = false; ///< Not admitted because another entry may have runs of it.
     bool started = false; ///< A run has started or may have started.
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -158,6 +158,8 @@
         {"clients_gone", counters.clientsGone},
         {"jobs_abandoned", counters.abandoned},
         {"jobs_not_admitted", counters.notAdmitted},
+        {"jobs_held", counters.held},
+        {"jobs_held_admitted", counters.heldAdmitted},
         {"jobs_unconfirmed", counters.unconfirmed},
         {"runs_ordered", counters.runsOrdered},
         {"runs_handed_back", counters.runsHandedBack},
--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -112,6 +112,7 @@
     /// after 3.0 to 3.4 s.
     std::vector<ScheduledCrash> serverCrashes;
     std::vector<ScheduledEntryKill> entryKills;
+    std::size_t maxHeldJobs = EntrySettings().maxHeldJobs; ///< Of each entry.
     std::vector<ScheduledAgentFault> agentFaults;
     /// Clients whose entry is killed submit their jobs again up to this much later than 1.3 s afterwards.
     Duration maxResubmitDelay{0};
--- a/tests/dispatch_tests.cpp
+++ b/tests/dispatch_tests.cpp
@@ -363,3 +363,34 @@
         CHECK(share(kind.second.inTime, kind.second.submitted) > 0.44);
     }
 }
+
+TEST_CASE("Jobs that arrive before the entries of a restarted fleet may admit jobs are held and served")
+{
+    // Scenario: a power loss ends all entries at once. For 0.8 s to 2 s after their start they can't admit jobs, and would answer
+    // 504 to each. Here clients submit again after 1.3 s, when only long jobs can still be in time.
+    std::uint64_t submitted = 0;
+    std::uint64_t inTime[2] = {};
+    for (const bool holds : {false, true}) {
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            SimulationSettings settings = mixedSettings();
+            settings.seed = seed;
+            settings.jobsPerSecond = 60;
+            settings.maxHeldJobs = holds ? settings.maxHeldJobs : 0;
+            for (std::size_t entry = 0; entry < settings.entries; ++entry) {
+                settings.entryKills.push_back(ScheduledEntryKill{5.0, entry, milliseconds(300)});
+            }
+            const SimulationResult result = runSimulation(settings, seconds(10));
+            requireNoViolations(result, seed);
+            for (const std::pair<const std::string, std::map<std::int64_t, JobKindResult>> &kind : result.kindsBySecond) {
+                for (const std::pair<const std::int64_t, JobKindResult> &second : kind.second) {
+                    if (second.first == 5 || second.first == 6) {
+                        submitted += holds ? second.second.submitted : 0;
+                        inTime[holds ? 1 : 0] += second.second.inTime;
+                    }
+                }
+            }
+        }
+    }
+    INFO("submitted " << submitted << ", in time without holding " << inTime[0] << ", with holding " << inTime[1]);
+    CHECK(inTime[1] * 100 > inTime[0] * 105);
+}
