--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -134,6 +134,7 @@
     /// after 3.0 to 3.4 s.
     std::vector<ScheduledCrash> serverCrashes;
     std::vector<ScheduledEntryKill> entryKills;
+    std::size_t maxHeldJobs = EntrySettings().maxHeldJobs; ///< Of each entry.
     std::vector<ScheduledAgentFault> agentFaults;
     std::vector<ScheduledFleetRestart> fleetRestarts;
     bool storeAnswers = true; ///< Whether entries can read the lists of agents from the store, and write theirs.
