Cold servers are given a growing part of their CPU capacity

Cause: at the end of an evacuation the servers of a whole domain are idle and slow; the placement prefers free capacity and would send them most of the load at once.

Change: an announcement may carry cold_ms. The agent then offers a tenth of the CPU to entries and to its own starts, growing to all of it over that time (ColdStart). ServerLoad::cold reports the remaining time; jobs are not refused meanwhile for later steps that need more than is offered now. An invalid value is logged once, counted and changes nothing. Tests of the evacuation are stricter where removing a line of the change had not failed one: the first report with a new set, the stale event, the agent's own setting, a restarted agent, an agent heard for the first time.

--- a/src/core/dispatch/agent_coordinators.cpp
+++ b/src/core/dispatch/agent_coordinators.cpp
@@ -249,6 +249,7 @@
     report.load.evacuated = evacuated() && serverUsable(now);
     report.load.suspect = m_progress.suspect(now);
     report.load.onProbation = m_progress.onProbation();
+    report.load.cold = m_coldStart.remaining(now);
     report.load.labels = m_labels;
     m_ledger.fillLoad(now, report.load);
     for (const RunEvent &event : coordinator.unacknowledged) {
--- a/src/core/dispatch/agent_dispatch.cpp
+++ b/src/core/dispatch/agent_dispatch.cpp
@@ -451,6 +451,7 @@
 
 void AgentDispatch::onTick(TimePoint now)
 {
+    updateCapacity(now);
     m_ledger.sampleUrgentCpu(now);
     refuseExpiredRuns(now);
     checkServer(now);
--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -2,6 +2,7 @@
 /// reports the state of each run to the entry that coordinates it.
 #pragma once
 
+#include "core/dispatch/cold_start.h"
 #include "core/dispatch/coordination.h"
 #include "core/dispatch/crash_history.h"
 #include "core/dispatch/entry_selection.h"
@@ -112,6 +113,7 @@
     std::uint64_t runsUnconfirmed = 0; ///< Runs stopped because other entries may start their jobs.
     std::uint64_t coordinatorsSilent = 0; ///< Coordinators that timed out.
     std::uint64_t connectionsReplaced = 0;
+    std::uint64_t coldTimesInvalid = 0; ///< Announcements whose time for which the server is cold is invalid.
     std::uint64_t serverCrashes = 0; ///< Crashes of the backend server with runs on it.
 };
 
@@ -278,6 +280,10 @@
     void useIncarnation(TimePoint now, const ServerAnnouncement &announcement);
     /// Takes over the state that the server reports of itself.
     void applyAnnouncement(TimePoint now, const ServerAnnouncement &announcement);
+    /// Logs that the server has become cold, and invalid times for which it is cold.
+    void recordColdTime(TimePoint now, const ServerAnnouncement &announcement, bool wasCold);
+    /// Sets the capacity that may be used at present: all that is announced, or a part of it while the server is cold.
+    void updateCapacity(TimePoint now) noexcept;
     void endServerIncarnation(TimePoint now, const char *cause);
     /// Records the end of the backend server's process, once for each incarnation, and reports it with the tasks that may have
     /// caused it. To be called while the ledger still has the runs.
@@ -361,6 +367,9 @@
     TimePoint m_announcedAt;
     /// Until when the announced capacity may be used, on the server's clock; empty until this incarnation has announced it.
     std::optional<ServerTime> m_capacityValidUntil;
+    Resources m_announcedCapacity;
+    ColdStart m_coldStart;
+    bool m_coldTimeInvalid = false; ///< In the latest announcement.
     bool m_draining = false;
     bool m_leftServer = false; ///< The server's id was deregistered, and it has not responded since.
     std::vector<std::string> m_labels;
--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -169,8 +169,15 @@
     m_announcementSequence = announcement.sequence;
     m_outdatedSequence.reset();
     m_announcedAt = now;
-    const bool capacityChanged = announcement.capacity != m_ledger.capacity();
-    m_ledger.setCapacity(announcement.capacity);
+    const bool wasCold = m_coldStart.remaining(now) > Duration(0);
+    if (announcement.cold) {
+        m_coldStart.announce(now, *announcement.cold);
+    }
+    recordColdTime(now, announcement, wasCold);
+    const bool becameCold = !wasCold && m_coldStart.remaining(now) > Duration(0);
+    const bool capacityChanged = becameCold || announcement.capacity != m_announcedCapacity;
+    m_announcedCapacity = announcement.capacity;
+    updateCapacity(now);
     m_capacityValidUntil = ServerTime(announcement.clock.value() + toMs(m_settings.timing.capacityValidity));
     if (announcement.labels != m_labels) {
         m_labels = announcement.labels;
@@ -201,6 +208,24 @@
     sendDueReports(now);
 }
 
+void AgentDispatch::recordColdTime(TimePoint now, const ServerAnnouncement &announcement, bool wasCold)
+{
+    if (!wasCold && m_coldStart.remaining(now) > Duration(0)) {
+        m_log.write(LogLevel::Info, "server-cold",
+                    "id=" + announcement.incarnation.id + " cold_ms=" + ms(m_coldStart.remaining(now)));
+    }
+    m_counters.coldTimesInvalid += announcement.cold ? 0 : 1;
+    if (!announcement.cold && !m_coldTimeInvalid) {
+        m_log.write(LogLevel::Warning, "announcement-odd", "id=" + announcement.incarnation.id + " field=cold_ms");
+    }
+    m_coldTimeInvalid = !announcement.cold;
+}
+
+void AgentDispatch::updateCapacity(TimePoint now) noexcept
+{
+    m_ledger.setCapacity(m_coldStart.usable(now, m_announcedCapacity));
+}
+
 void AgentDispatch::onServerLeft(TimePoint now, const std::string &serverId)
 {
     if (!m_serverIncarnation || m_serverIncarnation->id != serverId) {
@@ -244,6 +269,7 @@
     m_leftServer = false;
     m_unresponsiveRuns.clear();
     m_progress = ServerProgress();
+    m_coldStart = ColdStart();
     // A start request may have reached the new incarnation before this agent noticed the restart. Requests that are still in
     // flight carry the old fencing token; the new incarnation rejects them once it has been polled with the raised one.
     raiseToken(now, cause);
--- a/src/core/dispatch/fleet_view.cpp
+++ b/src/core/dispatch/fleet_view.cpp
@@ -105,7 +105,8 @@
 {
     return std::any_of(m_agents.begin(), m_agents.end(), [&](const Agents::value_type &item) {
         const AgentView &agent = item.second;
-        return agent.service == service && !agent.evacuated && need.fits(agent.load.capacity) && agent.hasLabel(requiredLabel);
+        return agent.service == service && !agent.evacuated && (need.fits(agent.load.capacity) || agent.load.cold > Duration(0))
+            && agent.hasLabel(requiredLabel);
     });
 }
 
--- a/src/daemon/agent_process.cpp
+++ b/src/daemon/agent_process.cpp
@@ -111,6 +111,7 @@
         {"coordinators_silent", counters.coordinatorsSilent},
         {"connections_replaced", counters.connectionsReplaced},
         {"server_crashes", counters.serverCrashes},
+        {"cold_times_invalid", counters.coldTimesInvalid},
         {"store_calls", m_store->calls()},
         {"runs_booked", ledger.booked()},
         {"runs_waiting", ledger.waiting()},
--- a/src/ports/dispatch_ports.h
+++ b/src/ports/dispatch_ports.h
@@ -31,6 +31,7 @@
     Resources capacity;
     std::vector<std::string> labels;
     ServerTime clock;
+    std::optional<Duration> cold = Duration(0); ///< How long the server is slow; nullopt if the announced value is invalid.
 };
 
 /// Request to start a run. The server rejects it if its clock is past `notAfter`; otherwise it also extends the lease of all its
--- a/tests/evacuation_tests.cpp
+++ b/tests/evacuation_tests.cpp
@@ -13,7 +13,6 @@
 {
 
 constexpr Duration Step = milliseconds(5);
-constexpr std::int64_t ServerCpuMilli = 4000;
 
 class RecordingLog : public DecisionLog
 {
@@ -297,6 +296,8 @@
     std::array<EntryNode, 3> entries;
     std::vector<std::unique_ptr<AgentNode>> agents;
     Duration runTime = milliseconds(50);
+    std::int64_t serverCpuMilli = 4000; ///< Capacity of each server.
+    std::optional<Duration> announcedCold = Duration(0); ///< As in ServerAnnouncement.
     /// Whether a message from one process to another is lost.
     std::function<bool(const Endpoint &from, const Endpoint &to)> isCut = [](const Endpoint &, const Endpoint &) {
         return false;
@@ -323,7 +324,8 @@
         announcement.incarnation = ServerIncarnation{"s", 1};
         announcement.service = "svc";
         announcement.sequence = ++m_lastAnnouncement;
-        announcement.capacity = Resources{ServerCpuMilli, 1000, 0};
+        announcement.capacity = Resources{serverCpuMilli, 1000, 0};
+        announcement.cold = announcedCold;
         announcement.clock = serverClock();
         node.agent->onAnnouncement(now, announcement);
     }
@@ -371,6 +373,9 @@
     fleet.runFor(milliseconds(300));
     REQUIRE(fleet.startsIn("d0") == startsBefore);
     REQUIRE(fleet.entries[0].count(JobOutcome::Succeeded) == 12);
+    const ServerLoad &load = fleet.entries[0].entry->fleet().agents().at(fleet.agents[0]->endpoint).load;
+    REQUIRE_FALSE(load.accepting);
+    REQUIRE(load.evacuated);
     fleet.evacuate({});
     fleet.runFor(milliseconds(400));
     REQUIRE(fleet.entries[0].entry->usableAgents(fleet.now) == 6);
@@ -402,6 +407,7 @@
     Fleet fleet({"d0", "d1"}, false);
     fleet.store = Evacuations{60, {"d0"}};
     fleet.startAll();
+    fleet.informAgent(0);
     REQUIRE(fleet.entries[0].entry->evacuations().revision == 0);
     REQUIRE(fleet.agents[0]->agent->evacuations().revision == 0);
     fleet.submit(0, 2);
@@ -564,9 +570,12 @@
 
 TEST_CASE("Tasks that were ordered before an entry learns of the evacuation are refused once and run elsewhere")
 {
+    // At different times after the latest heartbeat.
+    const int heartbeatAgeMs = GENERATE(0, 30, 60, 90, 120, 150, 180);
     Fleet fleet({"d0", "d1"});
     fleet.entries[0].readsStore = false;
     fleet.startAll();
+    fleet.runFor(milliseconds(heartbeatAgeMs));
     fleet.evacuate({"d0"});
     // The refusals of the agent are the first that entry 0 hears of the evacuation.
     fleet.submit(0, 3);
@@ -612,11 +621,28 @@
     fleet.evacuate({"d0"});
     fleet.runFor(milliseconds(250));
     fleet.startAgent(0);
+    fleet.informAgent(0);
     fleet.runFor(milliseconds(400));
     REQUIRE(fleet.startsIn("d1") == 2);
     REQUIRE(fleet.startsIn("d0") == 2);
 }
 
+TEST_CASE("An agent that is heard for the first time during the evacuation of its domain is not used, whatever it reports")
+{
+    Fleet fleet({"d0", "d1"});
+    fleet.startAll();
+    fleet.agents[0]->agent.reset();
+    fleet.evacuate({"d0"});
+    // Longer than entries remember an agent.
+    fleet.runFor(seconds(11));
+    fleet.startAgent(0);
+    for (int i = 0; i < 100; ++i) {
+        fleet.runFor(Step);
+        REQUIRE(fleet.entries[0].entry->usableAgents(fleet.now) == 1);
+    }
+    REQUIRE(fleet.entries[0].entry->fleet().agents().size() == 2);
+}
+
 TEST_CASE("The end of a server in an evacuated domain is not taken for a crash under its tasks")
 {
     Fleet fleet({"d0", "d1"});
@@ -666,3 +692,58 @@
     fleet.runFor(milliseconds(400));
     REQUIRE(fleet.log.lines["evacuations-adopted"].size() == 4);
 }
+
+TEST_CASE("A cold server is given a part of its capacity that grows with time, by entries and by its agent")
+{
+    Fleet fleet({"d0"});
+    fleet.serverCpuMilli = 20000;
+    fleet.runTime = milliseconds(900);
+    fleet.startAll();
+    fleet.evacuate({"d0"});
+    fleet.runFor(seconds(1));
+    fleet.evacuate({});
+    fleet.announcedCold = seconds(4);
+    fleet.runFor(seconds(1) - fleet.now.time_since_epoch() % seconds(1));
+    fleet.announcedCold = Duration(0);
+    fleet.runFor(Step);
+    const AgentView &view = fleet.entries[0].entry->fleet().agents().begin()->second;
+    // The entries are told at once.
+    REQUIRE(view.load.capacity.cpuMilli == 2000);
+    REQUIRE(view.load.cold == seconds(4));
+    // Room for two tasks. More are placed there only as far as they can wait for the ones that run.
+    fleet.submit(0, 12, milliseconds(900));
+    fleet.runFor(milliseconds(100));
+    REQUIRE(fleet.startsIn("d0") == 2);
+    REQUIRE(fleet.agents[0]->agent->ledger().booked() == 2);
+    fleet.runFor(milliseconds(1900));
+    REQUIRE(view.load.capacity.cpuMilli > 10000);
+    REQUIRE(view.load.capacity.cpuMilli < 12000);
+    fleet.runFor(seconds(3));
+    REQUIRE(view.load.capacity.cpuMilli == 20000);
+    REQUIRE(view.load.cold == Duration(0));
+    fleet.submit(0, 12, milliseconds(900));
+    fleet.runFor(milliseconds(100));
+    REQUIRE(fleet.agents[0]->agent->ledger().booked() == 12);
+}
+
+TEST_CASE("A server that announces an invalid cold time is used like a warm one, which is logged once")
+{
+    Fleet fleet({"d0"});
+    fleet.announcedCold = std::nullopt;
+    fleet.startAll();
+    REQUIRE(fleet.entries[0].entry->fleet().agents().begin()->second.load.capacity.cpuMilli == 4000);
+    REQUIRE(fleet.agents[0]->agent->counters().coldTimesInvalid >= 4);
+    REQUIRE(fleet.log.lines["announcement-odd"].size() == 1);
+}
+
+TEST_CASE("A fleet of cold servers does not refuse jobs for the size of their later steps")
+{
+    Fleet fleet({"d0"});
+    fleet.announcedCold = seconds(10);
+    fleet.startAll();
+    // 0.1 + 0.9 x 0.4 of 4000.
+    REQUIRE(fleet.entries[0].entry->fleet().agents().begin()->second.load.capacity.cpuMilli < 2000);
+    REQUIRE(fleet.entries[0].entry->fleet().hasServerFor("svc", Resources{3500, 10, 0}, ""));
+    fleet.runFor(seconds(8));
+    REQUIRE_FALSE(fleet.entries[0].entry->fleet().hasServerFor("svc", Resources{4500, 10, 0}, ""));
+}
--- a/tests/store_evacuation_tests.cpp
+++ b/tests/store_evacuation_tests.cpp
@@ -173,6 +173,13 @@
         });
     }
 
+    /// Whether all sets so far have these domains.
+    bool alwaysReported(const Domains &domains) const
+    {
+        return std::all_of(sets.begin(), sets.end(),
+                           [&domains](const dispatch::Evacuations &set) { return set.domains == domains; });
+    }
+
     boost::asio::io_context context;
     FakeStore store;
     RecordingLog log;
@@ -304,6 +311,7 @@
         REQUIRE(fixture.follows({"z1"}));
         REQUIRE(fixture.client.operatorItemsIgnored() == 2);
         REQUIRE(fixture.log.events["operator-items-odd"] == 2);
+        REQUIRE(fixture.alwaysReported({"z1"}));
         fixture.store.remove("op/evacuate/z1");
         REQUIRE(fixture.follows({}));
     }
@@ -317,6 +325,8 @@
     REQUIRE(fixture.follows({"z1"}));
     fixture.store.sendEvent(R"({"key":"op/evacuate/z1","revision":50,"deleted":true})");
     REQUIRE(fixture.follows({"z1"}));
+    REQUIRE(fixture.sets.size() >= 2);
+    REQUIRE(fixture.alwaysReported({"z1"}));
 }
 
 TEST_CASE("The value of an evacuation has no meaning, and other keys of the operators are none")
