Demand digests with the next heartbeat when the demand changes, and a burst under both policies in the simulation

Cause: with a digest a second, entries learned of a burst late, and cut other queues for the first second of it. Change: a digest is also sent with the next heartbeat (200 ms at most) once a queue's present demand has changed by 5 % of the total since the last such change. DispatchSimulation has a setting for the policy.

--- a/src/core/dispatch/admission_control.cpp
+++ b/src/core/dispatch/admission_control.cpp
@@ -11,7 +11,7 @@
 
 void AdmissionControl::setQueues(const QueueConfig & /*queues*/) { }
 
-std::vector<QueueDemand> AdmissionControl::demandDigest(TimePoint /*now*/)
+DemandLedger::Digest AdmissionControl::demandDigest(TimePoint /*now*/)
 {
     return {};
 }
--- a/src/core/dispatch/admission_control.h
+++ b/src/core/dispatch/admission_control.h
@@ -1,8 +1,8 @@
 /// Which jobs an entry refuses while the load exceeds the capacity of the fleet.
 #pragma once
 
+#include "core/dispatch/demand_ledger.h"
 #include "core/dispatch/load_shedding.h"
-#include "core/dispatch/messages.h"
 #include "core/dispatch/queue_config.h"
 
 #include <map>
@@ -40,7 +40,7 @@
     virtual void setQueues(const QueueConfig &queues);
 
     /// Demand measured here, for the other entries; empty if they don't need it.
-    virtual std::vector<QueueDemand> demandDigest(TimePoint now);
+    virtual DemandLedger::Digest demandDigest(TimePoint now);
 
     /// Takes over the digest of another entry. Returns false if some of its figures were invalid and ignored.
     virtual bool receiveDigest(TimePoint now, const Endpoint &from, const std::vector<QueueDemand> &digest);
--- a/src/core/dispatch/demand_ledger.cpp
+++ b/src/core/dispatch/demand_ledger.cpp
@@ -37,6 +37,9 @@
 /// Far above the demand of any fleet; keeps sums finite.
 constexpr double MaxCpuMilli = 1e12;
 constexpr double MilliPerCore = 1e3;
+/// Change of a queue's present demand, as a fraction of the total one, that the other entries learn of with the next heartbeat. A
+/// burst of 1.8 times a queue with a quarter of the demand exceeds it in half a second.
+constexpr double MaxUnreportedChange = 0.05;
 constexpr std::size_t MaxPeers = 1024;
 
 double secondsOf(Duration duration)
@@ -217,13 +220,36 @@
     return m_malformedFigures == malformedBefore;
 }
 
-std::vector<QueueDemand> DemandLedger::digest(TimePoint now)
+void DemandLedger::detectChange(TimePoint now)
+{
+    double total = 0;
+    double change = 0;
+    for (const std::pair<const QueueKey, OwnQueue> &item : m_own) {
+        const std::map<QueueKey, double>::const_iterator before = m_presentAtChange.find(item.first);
+        const double demand = present(item.second);
+        total += demand;
+        change = std::max(change, std::abs(demand - (before == m_presentAtChange.end() ? 0.0 : before->second)));
+    }
+    if (change <= MaxUnreportedChange * total) {
+        return;
+    }
+    m_changedAt = now;
+    m_presentAtChange.clear();
+    for (const std::pair<const QueueKey, OwnQueue> &item : m_own) {
+        m_presentAtChange[item.first] = present(item.second);
+    }
+}
+
+DemandLedger::Digest DemandLedger::digest(TimePoint now)
 {
     update(now);
-    std::vector<QueueDemand> digest;
+    Digest result;
     if (!measuresUsualDemand(now)) {
-        return digest;
+        return result;
     }
+    detectChange(now);
+    result.changedAt = m_changedAt;
+    std::vector<QueueDemand> &digest = result.demands;
     for (const std::pair<const QueueKey, OwnQueue> &item : m_own) {
         digest.push_back(QueueDemand{item.first, item.second.usual * MilliPerCore, present(item.second) * MilliPerCore});
     }
@@ -231,7 +257,7 @@
         return std::max(a.usualCpuMilli, a.presentCpuMilli) > std::max(b.usualCpuMilli, b.presentCpuMilli);
     });
     digest.resize(std::min(digest.size(), MaxDigestQueues));
-    return digest;
+    return result;
 }
 
 } // namespace cuminscale::dispatch
--- a/src/core/dispatch/demand_ledger.h
+++ b/src/core/dispatch/demand_ledger.h
@@ -43,8 +43,14 @@
     /// Returns whether all figures were valid.
     bool receive(TimePoint now, const Endpoint &from, const std::vector<QueueDemand> &digest);
 
-    /// The demand measured here, largest first. Empty until it has been measured for some seconds.
-    std::vector<QueueDemand> digest(TimePoint now);
+    struct Digest
+    {
+        /// The demand measured here, largest first. Empty until it has been measured for some seconds.
+        std::vector<QueueDemand> demands;
+        TimePoint changedAt; ///< When the present demand was first seen to differ much from that of earlier digests.
+    };
+
+    Digest digest(TimePoint now);
 
     /// Whether the usual demand is known: measured here for some seconds, or reported by another entry.
     bool isMeasured(TimePoint now) const;
@@ -84,6 +90,8 @@
     /// Decays the demands and learns the usual ones, in steps of at least the update interval.
     void update(TimePoint now);
     void mergeFleet(TimePoint now);
+    /// Sets m_changedAt if the present demand differs much from that at m_changedAt.
+    void detectChange(TimePoint now);
     /// Mean demand of the other entries; empty without digests.
     Demands meanOfPeers(TimePoint now) const;
     /// The part of a queue's present demand that counts as usual; below 1 in a burst.
@@ -95,6 +103,8 @@
     TimePoint m_firstRecordAt; ///< Zero before the first record.
     TimePoint m_updatedAt;
     TimePoint m_slowUntil;
+    std::map<QueueKey, double> m_presentAtChange; ///< By queue, in cores.
+    TimePoint m_changedAt;
     std::uint64_t m_malformedFigures = 0;
 };
 
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -23,7 +23,7 @@
 /// Timeouts, intervals and limits of an entry.
 struct EntryTiming
 {
-    Duration demandDigestInterval = seconds(1); ///< Interval of the demand digests in heartbeats to other entries.
+    Duration demandDigestInterval = seconds(1); ///< Longest time between the demand digests in heartbeats to other entries.
     Duration heartbeatInterval = milliseconds(200); ///< Three heartbeats fit into the agents' timeout for a coordinator.
     /// Peers receive the full list of entries at this interval, and at once when the number of entries changes.
     Duration entryListInterval = seconds(2);
--- a/src/core/dispatch/entry_peers.cpp
+++ b/src/core/dispatch/entry_peers.cpp
@@ -330,7 +330,7 @@
 {
     const std::vector<EntryAddress> entries = knownEntries();
     const std::vector<JobKey> jobs = activeJobs();
-    const std::vector<QueueDemand> demands = m_admission->demandDigest(now);
+    const DemandLedger::Digest digest = m_admission->demandDigest(now);
     for (std::map<Endpoint, EntryPeer>::iterator it = m_entries.begin(); it != m_entries.end();) {
         EntryPeer &entry = it->second;
         // An entry that is cut off keeps the others: it must not take itself for the only one.
@@ -357,9 +357,11 @@
                 entry.cancelledJobsSentAt = now;
                 heartbeat.cancelledJobs = cancelledJobs(now);
             }
-            if (!demands.empty() && now - entry.demandsSentAt >= m_settings.timing.demandDigestInterval) {
+            if (!digest.demands.empty()
+                && (digest.changedAt > entry.demandsSentAt
+                    || now - entry.demandsSentAt >= m_settings.timing.demandDigestInterval)) {
                 entry.demandsSentAt = now;
-                heartbeat.demands = demands;
+                heartbeat.demands = digest.demands;
             }
             sendToEntry(now, it->first, entry, std::move(heartbeat));
         }
--- a/src/core/dispatch/usual_share_admission.cpp
+++ b/src/core/dispatch/usual_share_admission.cpp
@@ -11,7 +11,7 @@
 
 /// A queue surges if its present demand exceeds its entitlement by this factor. The present demand of a queue with some forty
 /// jobs a second varies by a tenth by itself.
-constexpr double SurgeThreshold = 1.12;
+constexpr double SurgeThreshold = 1.15;
 /// Time constant of the mean shed fraction. The backlog varies within tenths of a second, as jobs arrive as groups of tasks.
 constexpr double MeanFractionSeconds = 1.0;
 /// Queues known from submitted jobs alone, before the configuration names them.
@@ -177,7 +177,7 @@
     return minimum * static_cast<std::int64_t>(1 + JobIdHash()(job) % steps);
 }
 
-std::vector<QueueDemand> UsualShareAdmission::demandDigest(TimePoint now)
+DemandLedger::Digest UsualShareAdmission::demandDigest(TimePoint now)
 {
     return m_ledger.digest(now);
 }
--- a/src/core/dispatch/usual_share_admission.h
+++ b/src/core/dispatch/usual_share_admission.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include "core/dispatch/admission_control.h"
-#include "core/dispatch/demand_ledger.h"
 
 namespace cuminscale::dispatch
 {
@@ -25,7 +24,7 @@
     Duration retryAfter(const JobId &job, const QueueRule &queue, AdmissionDecision decision, double backlog, double capacity,
                         Duration minimum) const override;
     void setQueues(const QueueConfig &queues) override;
-    std::vector<QueueDemand> demandDigest(TimePoint now) override;
+    DemandLedger::Digest demandDigest(TimePoint now) override;
     bool receiveDigest(TimePoint now, const Endpoint &from, const std::vector<QueueDemand> &digest) override;
     std::map<std::string, NamedDemand> fleetDemand() const override;
     std::uint64_t malformedFigures() const override;
--- a/tests/admission_tests.cpp
+++ b/tests/admission_tests.cpp
@@ -116,13 +116,14 @@
         for (std::size_t i = 0; i < replay.entries; ++i) {
             m_entries.push_back(makeEntry());
         }
+        m_digestSentAt.resize(replay.entries);
     }
 
     Result run()
     {
         const double step = 0.002;
         std::vector<double> due(m_replay.kinds.size(), 0.0); // Expected arrivals that have not taken place yet.
-        double nextDigest = 0.5;
+        double nextHeartbeat = 0.5;
         double nextReport = 0;
         double backlog = 0;
         bool restarted = false;
@@ -130,10 +131,10 @@
             if (m_replay.firstEntryRestartsAt && second >= *m_replay.firstEntryRestartsAt && !restarted) {
                 m_entries[0] = makeEntry();
                 restarted = true;
-                nextDigest = second; // The others send it a heartbeat at once.
+                m_digestSentAt.assign(m_entries.size(), TimePoint()); // The others send it a digest at once.
             }
-            if (second >= nextDigest && m_replay.exchangesDigests) {
-                nextDigest = second + 1.0;
+            if (second >= nextHeartbeat && m_replay.exchangesDigests) {
+                nextHeartbeat = second + 0.2;
                 exchangeDigests(second);
             }
             startTasks(second);
@@ -199,7 +200,12 @@
     void exchangeDigests(double second)
     {
         for (std::size_t from = 0; from < m_entries.size(); ++from) {
-            std::vector<QueueDemand> digest = m_entries[from]->demandDigest(timeOf(second));
+            const DemandLedger::Digest current = m_entries[from]->demandDigest(timeOf(second));
+            if (current.changedAt <= m_digestSentAt[from] && timeOf(second) - m_digestSentAt[from] < seconds(1)) {
+                continue;
+            }
+            m_digestSentAt[from] = timeOf(second);
+            std::vector<QueueDemand> digest = current.demands;
             if (m_replay.sendsMalformedDigests) {
                 digest.insert(digest.begin(), QueueDemand{queueKey("age-grade"), -1e9, 1e9});
                 digest.insert(digest.begin(), QueueDemand{queueKey("chip-read"), std::numeric_limits<double>::quiet_NaN(), 0});
@@ -263,6 +269,7 @@
     double m_capacity;
     QueueConfig m_config;
     std::vector<std::unique_ptr<AdmissionControl>> m_entries;
+    std::vector<TimePoint> m_digestSentAt; ///< By entry.
     std::priority_queue<Task> m_waiting;
     std::priority_queue<Run> m_running;
     double m_waitingCores = 0;
--- a/tests/demand_ledger_tests.cpp
+++ b/tests/demand_ledger_tests.cpp
@@ -112,10 +112,10 @@
     // It has measured for two seconds, and sends no digest before.
     load(ledger, A, Start + seconds(4), Start + milliseconds(5900), 10);
     REQUIRE_FALSE(ledger.isMeasured(Start + milliseconds(5900)));
-    REQUIRE(ledger.digest(Start + milliseconds(5900)).empty());
+    REQUIRE(ledger.digest(Start + milliseconds(5900)).demands.empty());
     load(ledger, A, Start + milliseconds(5900), Start + milliseconds(6100), 10);
     REQUIRE(ledger.isMeasured(Start + milliseconds(6100)));
-    REQUIRE(ledger.digest(Start + milliseconds(6100)).size() == 1);
+    REQUIRE(ledger.digest(Start + milliseconds(6100)).demands.size() == 1);
 }
 
 TEST_CASE("Figures that can't be right are ignored and counted, and the others are used")
@@ -147,7 +147,7 @@
     }
     const TimePoint now = Start + milliseconds(2500);
     REQUIRE(ledger.fleet(now).size() <= DemandLedger::MaxOwnQueues);
-    const std::vector<QueueDemand> digest = ledger.digest(now);
+    const std::vector<QueueDemand> digest = ledger.digest(now).demands;
     REQUIRE(digest.size() == DemandLedger::MaxDigestQueues);
     REQUIRE(digest.front().queue == A);
     for (std::uint32_t peer = 0; peer < 100; ++peer) {
@@ -160,3 +160,15 @@
     REQUIRE(ledger.fleet(now).size() <= DemandLedger::MaxFleetQueues);
     REQUIRE(ledger.fleet(now).count(A) == 1);
 }
+
+TEST_CASE("A changed demand is noticed at once, and a steady one is not taken for a change")
+{
+    // Guards against other entries that learn of a burst a second late, and against a digest in each heartbeat.
+    DemandLedger ledger;
+    load(ledger, A, Start, Start + seconds(3), 30);
+    const TimePoint changedAt = ledger.digest(Start + seconds(3)).changedAt;
+    load(ledger, A, Start + seconds(3), Start + seconds(15), 30);
+    REQUIRE(ledger.digest(Start + seconds(15)).changedAt == changedAt);
+    load(ledger, A, Start + seconds(15), Start + milliseconds(15'300), 60);
+    REQUIRE(ledger.digest(Start + milliseconds(15'300)).changedAt == Start + milliseconds(15'300));
+}
--- a/tests/dispatch_simulation.cpp
+++ b/tests/dispatch_simulation.cpp
@@ -949,6 +949,7 @@
     EntrySettings settings;
     settings.self = ProcessId{process.endpoint, Incarnation(static_cast<std::uint64_t>(m_now.time_since_epoch().count()))};
     settings.domain = "d" + std::to_string(index % 3);
+    settings.admission = m_settings.admission;
     for (const std::unique_ptr<Process> &entry : m_entries) {
         settings.entries.push_back(entry->endpoint);
     }
--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -89,6 +89,7 @@
     std::vector<JobKind> kinds = {JobKind()};
     std::int64_t serverCpuMilli = 16000;
     std::vector<std::int64_t> serverCpuMilliByIndex; ///< Replaces serverCpuMilli unless empty.
+    AdmissionPolicy admission = AdmissionPolicy::LargestFirst; ///< Of all entries.
     Duration clientTimeout = seconds(6);
     std::size_t payloadBytes = 0; ///< Minimum size of a job's payload.
     /// Outgoing bandwidth of each entry, in bytes per second; 0 for no limit. Messages queue for the link.
--- a/tests/dispatch_tests.cpp
+++ b/tests/dispatch_tests.cpp
@@ -349,6 +349,38 @@
     }
 }
 
+TEST_CASE("With usual shares, a burst of long tasks does not cost the jobs of another kind")
+{
+    // Load pattern: for six seconds 2.6 times the usual number of jobs of the least urgent kind. The former policy also cuts the
+    // kind `preview`, whose usual demand is higher.
+    SimulationSettings settings = mixedSettings();
+    settings.agents = 33;
+    settings.entries = 6;
+    settings.jobsPerSecond = 540;
+    settings.lastKindLoadFactor = [](double second) {
+        return second > 6 && second < 12 ? 2.6 : 1.0;
+    };
+    for (std::size_t i = 0; i < settings.agents; ++i) {
+        settings.runTimeFactors[i] = 1.0;
+    }
+    std::map<AdmissionPolicy, JobKindResult> preview;
+    std::map<AdmissionPolicy, std::uint64_t> inTime;
+    for (const AdmissionPolicy policy : {AdmissionPolicy::LargestFirst, AdmissionPolicy::UsualShare}) {
+        settings.admission = policy;
+        for (settings.seed = 1; settings.seed <= 3; ++settings.seed) {
+            const SimulationResult result = runSimulation(settings, seconds(14));
+            requireNoViolations(result, settings.seed);
+            inTime[policy] += result.inTime;
+            preview[policy].submitted += result.kinds.at("preview").submitted;
+            preview[policy].refused += result.kinds.at("preview").refused;
+        }
+    }
+    const JobKindResult &former = preview[AdmissionPolicy::LargestFirst];
+    const JobKindResult &usual = preview[AdmissionPolicy::UsualShare];
+    CHECK(share(usual.refused, usual.submitted) < 0.3 * share(former.refused, former.submitted));
+    CHECK(inTime[AdmissionPolicy::UsualShare] > inTime[AdmissionPolicy::LargestFirst]);
+}
+
 TEST_CASE("With a third more load than the capacity, every kind stays above its required fraction in time")
 {
     // Load pattern: all kinds arrive at twice the usual rate.
--- a/tests/entry_admission_tests.cpp
+++ b/tests/entry_admission_tests.cpp
@@ -170,7 +170,7 @@
 
 } // namespace
 
-TEST_CASE("Heartbeats to entries carry a demand digest once a second, with the usual-share policy only")
+TEST_CASE("Heartbeats to entries carry a demand digest once a second under steady load, with the usual-share policy only")
 {
     // Guards against digests in each heartbeat, whose bytes narrow links are charged for, and against a policy that changes
     // what a fleet with the default settings sends.
@@ -195,6 +195,21 @@
                         [](const EntryReport &heartbeat) { return heartbeat.demands.empty(); }));
 }
 
+TEST_CASE("Heartbeats carry a demand digest while the demand changes")
+{
+    // Guards against entries that learn of a burst at another entry a second late.
+    Fixture fixture;
+    fixture.receiveFromEntry({});
+    fixture.run(seconds(8), 0.0, 2);
+    fixture.links.heartbeats.clear();
+    fixture.run(seconds(1), 0.0, 6);
+    const std::size_t withDigest =
+        static_cast<std::size_t>(std::count_if(fixture.links.heartbeats.begin(), fixture.links.heartbeats.end(),
+                                               [](const EntryReport &heartbeat) { return !heartbeat.demands.empty(); }));
+    REQUIRE(fixture.links.heartbeats.size() <= 6);
+    REQUIRE(withDigest >= 4);
+}
+
 TEST_CASE("An entry that has restarted gets a digest with the next heartbeat")
 {
     Fixture fixture;
