Tests of restarts of the whole fleet; adopted runs keep their job listed

Cause: an agent that has just started counted the runs of its predecessor as lost with the next tick, as it does not know their lease, until the next poll listed them again. A report in between did not name their jobs.

Change: such runs count as lost by their lease 1.1 s after they were found. New cases of concurrent_run_tests restart all entries and agents, or all entries, while the servers keep their runs, alone and with all other faults.

--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -12,6 +12,8 @@
 
 /// A lease counts as expired this long after its limit, because both the limit and the clock are rounded to milliseconds.
 constexpr std::int64_t LeaseMarginMs = 5;
+/// A former agent may have extended the lease by up to this, the platform's limit and a margin for the rates of the clocks.
+constexpr Duration MaxForeignLease = milliseconds(1100);
 /// The first token derives from the wall clock, so it can be too low after the clock has been set back. Each rejection doubles
 /// the increment, up from this minimum, which is the size of a usual clock correction.
 constexpr std::int64_t MinTokenIncrementMs = 1000;
@@ -603,6 +605,7 @@
         if (record == nullptr) {
             m_log.write(LogLevel::Warning, "foreign-run", describe(listed.run));
             record = &m_ledger.adopt(listed.run);
+            record->queuedAt = now;
             requestStop(now, *record);
         } else if (record->ref != listed.run) {
             // It counts as ended or never started, and another run of the task is recorded: that one must not start beside it.
@@ -702,7 +705,10 @@
         if (record.state == RunRecord::State::Queued || record.state == RunRecord::State::Starting) {
             continue;
         }
-        if (leaseExpired && !record.serverRestarted) {
+        const bool foreign = record.coordinator.incarnation == Incarnation();
+        // This process does not know the lease under which a former agent started a run.
+        const bool mayHaveLease = foreign && now - record.queuedAt < MaxForeignLease;
+        if (leaseExpired && !record.serverRestarted && !mayHaveLease) {
             lost.push_back(record);
         } else if (record.stopRequested && !record.stopAcknowledged
                    && now - record.stopSentAt > m_settings.timing.callRetryTimeout) {
--- a/tests/agent_dispatch_tests.cpp
+++ b/tests/agent_dispatch_tests.cpp
@@ -1137,3 +1137,134 @@
     fixture.tickFor(milliseconds(300));
     REQUIRE(fixture.reportsAccepting());
 }
+
+TEST_CASE("Reports name the jobs whose runs do not belong to a coordinator that they name")
+{
+    AgentFixture fixture;
+    fixture.startRunOfEntryThatFails();
+    const JobKey job = JobId::parse("00000000000000f1")->key();
+    /// The next report that names entries. The server answers polls.
+    bool ended = false;
+    const auto nextReport = [&]() {
+        do {
+            fixture.tickFor(milliseconds(15));
+            if (!ended) {
+                fixture.answerPoll(1, {ListedRun{fixture.server.starts.at(0).run}});
+            }
+        } while (fixture.lastReportAt() != fixture.now || !fixture.lastReport().liveEntries);
+        return fixture.lastReport();
+    };
+    REQUIRE(nextReport().examined);
+    REQUIRE(fixture.lastReport().formerJobs.empty());
+    const bool restarts = GENERATE(true, false);
+    if (restarts) {
+        fixture.entryIncarnation = Incarnation(4);
+        fixture.receiveFromEntry(EntryReport());
+        // A new incarnation gets a report at once.
+        REQUIRE(fixture.lastReportAt() == fixture.now);
+        REQUIRE(fixture.lastReport().liveEntries == std::vector<LiveEntry>{LiveEntry{fixture.sender, Incarnation(4)}});
+    } else {
+        while (!nextReport().liveEntries->empty()) { }
+    }
+    REQUIRE(fixture.lastReport().formerJobs == std::vector<JobKey>{job});
+    fixture.answerPoll(
+        1, {},
+        {FinishedRun{1, dispatch::RunRef{dispatch::TaskRef{*JobId::parse("00000000000000f1"), 0, 0, 0}, RunNumber(1)},
+                     RunEnd::Stopped}});
+    ended = true;
+    REQUIRE(nextReport().formerJobs.empty());
+}
+
+TEST_CASE("An agent that has just started claims to know the runs of its server only once it has listed them")
+{
+    RecordingServer server;
+    RecordingLinks links;
+    DiscardingLog log;
+    AgentFixture other;
+    AgentDispatch agent(AgentFixture::settings(), server, links, log, other.now);
+    TimePoint now = other.now;
+    const auto report = [&]() {
+        now += milliseconds(210);
+        agent.onTick(now);
+        return std::get<AgentReport>(links.lastEnvelopes.at(other.sender).message);
+    };
+    REQUIRE_FALSE(report().examined);
+    agent.onAnnouncement(now, other.makeAnnouncement(Resources{12000, 1000, 0}));
+    REQUIRE_FALSE(report().examined);
+    Inventory inventory;
+    inventory.startTimeMs = 1;
+    inventory.clock = other.serverClock();
+    const dispatch::RunRef run{dispatch::TaskRef{*JobId::parse("00000000000000f1"), 0, 0, 0}, RunNumber(1)};
+    inventory.running = {ListedRun{run}};
+    SECTION("An incomplete list does not show all runs")
+    {
+        inventory.complete = false;
+        agent.onPollAnswered(now, server.lastPollNumber, inventory, PollFailure::None);
+        REQUIRE_FALSE(report().examined);
+    }
+    SECTION("Runs of a former agent are former jobs, and too many of them are not listed")
+    {
+        const bool tooMany = GENERATE(false, true);
+        for (std::uint32_t i = 0; tooMany && i < 512; ++i) {
+            dispatch::RunRef another = run;
+            const std::string digits = "0123456789abcdef";
+            std::string id = "0000000000000000";
+            id[13] = digits[i / 256];
+            id[14] = digits[i / 16 % 16];
+            id[15] = digits[i % 16];
+            another.task.job = *JobId::parse("1" + id.substr(1));
+            inventory.running.push_back(ListedRun{another});
+        }
+        agent.onPollAnswered(now, server.lastPollNumber, inventory, PollFailure::None);
+        REQUIRE(report().examined == !tooMany);
+        REQUIRE(report().formerJobs.size() == (tooMany ? 0 : 1));
+    }
+}
+
+TEST_CASE("An agent refuses orders for jobs that were requested long before it heard their coordinator")
+{
+    // Guards against a second run: an entry may have relied on a report that did not name the coordinator, and the job's client
+    // has submitted it there.
+    const Duration jobAge = GENERATE(Duration(milliseconds(650)), Duration(milliseconds(750)));
+    AgentFixture fixture;
+    fixture.tickFor(milliseconds(300));
+    const bool heardBefore = GENERATE(false, true);
+    if (heardBefore) {
+        fixture.receiveFromEntry(EntryReport());
+        fixture.tickFor(milliseconds(720));
+    }
+    StartOrder order = fixture.makeOrder("00000000000000f2", milliseconds(900), milliseconds(90), 1);
+    order.requestedAt = fixture.now - jobAge;
+    order.admittedAt = fixture.now;
+    fixture.receiveFromEntry(order);
+    REQUIRE(fixture.server.starts.size() == (jobAge > milliseconds(700) ? 0 : 1));
+}
+
+TEST_CASE("An agent that has just started reports every 200 ms to the entries that it has not heard")
+{
+    RecordingServer server;
+    RecordingLinks links;
+    DiscardingLog log;
+    AgentSettings settings = AgentFixture::settings();
+    settings.entries.clear();
+    for (std::uint32_t i = 1; i <= 20; ++i) {
+        settings.entries.push_back(Endpoint{100 + i, 7000});
+    }
+    TimePoint now{seconds(100)};
+    AgentDispatch agent(settings, server, links, log, now);
+    const auto reported = [&](Duration within) {
+        return std::count_if(
+            links.lastEnvelopes.begin(), links.lastEnvelopes.end(),
+            [&](const std::pair<const Endpoint, dispatch::Envelope> &item) { return now - item.second.sentAt < within; });
+    };
+    const auto tickFor = [&](Duration length) {
+        for (const TimePoint end = now + length; now < end;) {
+            now += milliseconds(15);
+            agent.onTick(now);
+        }
+    };
+    tickFor(milliseconds(1500));
+    REQUIRE(reported(milliseconds(215)) == 16);
+    tickFor(milliseconds(2000));
+    REQUIRE(reported(milliseconds(1015)) == 20);
+}
--- a/tests/concurrent_run_tests.cpp
+++ b/tests/concurrent_run_tests.cpp
@@ -83,12 +83,14 @@
     return jobs.submitted == 0 ? 0.0 : static_cast<double>(jobs.succeeded) / static_cast<double>(jobs.submitted);
 }
 
-Totals runAll(const std::vector<std::uint64_t> &seeds, const CoordinationFaults &faults, bool processFaults = false)
+Totals runAll(const std::vector<std::uint64_t> &seeds, const CoordinationFaults &faults, bool processFaults = false,
+              const std::vector<ScheduledFleetRestart> &fleetRestarts = {})
 {
     Totals totals;
     for (const std::uint64_t seed : seeds) {
         SimulationSettings settings = longJobs(seed, faults);
         settings.faults.processFaults = processFaults;
+        settings.fleetRestarts = fleetRestarts;
         settings.log = std::getenv("LOG") == nullptr ? nullptr : &std::cout;
         const SimulationResult result = DispatchSimulation(std::move(settings)).runFor(LoadDuration);
         for (const std::pair<const std::string, JobKindResult> &kind : result.kinds) {
@@ -232,6 +234,33 @@
     checkRunOnce("all of these", allFaults());
 }
 
+TEST_CASE("A task runs once while all entries and agents, or all entries, restart together and the servers run on")
+{
+    // Clients whose connections broke shortly before a restart submit their jobs to entries that have just started, while the
+    // servers still have the runs. Short downtimes are the hard case.
+    const Duration downtime = GENERATE(Duration(milliseconds(100)), Duration(milliseconds(600)));
+    const bool agents = GENERATE(true, false);
+    std::cout << "restarts of all " << (agents ? "processes: " : "entries: ");
+    std::vector<ScheduledFleetRestart> restarts;
+    for (const double second : {2.5, 4.5, 6.5, 8.0}) {
+        restarts.push_back(ScheduledFleetRestart{second, downtime, milliseconds(300), agents});
+    }
+    const Totals totals = runAll(seedsToRun(), brokenConnections(), false, restarts);
+    CHECK(totals.failingSeeds.empty());
+    CHECK(succeededShare(totals.shortJobs) >= ShortJobsBound);
+}
+
+TEST_CASE("A task runs once while all entries and agents restart together and entries fail and lose each other")
+{
+    std::cout << "restarts of all processes, and all other faults: ";
+    const std::vector<ScheduledFleetRestart> restarts{{3.0, milliseconds(100), milliseconds(300)},
+                                                      {5.0, milliseconds(100), milliseconds(300)},
+                                                      {7.5, milliseconds(400), milliseconds(300)}};
+    const Totals totals = runAll(seedsToRun(), allFaults(), false, restarts);
+    CHECK(totals.failingSeeds.empty());
+    CHECK(succeededShare(totals.shortJobs) >= ShortJobsBound);
+}
+
 /// Not run by default: adds kills, pauses and partitions of agents, and crashes of servers.
 TEST_CASE("A task runs once while connections and entries and the network and agents and servers fail together", "[.known]")
 {
--- a/tests/dispatch_simulation.cpp
+++ b/tests/dispatch_simulation.cpp
@@ -997,6 +997,9 @@
     m_log.write(LogLevel::Info, "FAULT", "fleet-restart");
     TimePoint lastStart = m_now;
     for (const bool isEntry : {true, false}) {
+        if (!isEntry && !restart.agents) {
+            continue;
+        }
         for (std::size_t i = 0; i < (isEntry ? m_entries : m_agents).size(); ++i) {
             const Duration downtime = restart.downtime + randomDuration(Duration(0), restart.spread);
             lastStart = std::max(lastStart, m_now + downtime);
--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -86,6 +86,7 @@
     double second = 0; ///< Since the start.
     Duration downtime{0};
     Duration spread{0};
+    bool agents = true; ///< False if only the entries end.
 };
 
 /// Size, load and faults of a simulation.
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -1064,6 +1064,84 @@
     REQUIRE_FALSE(restarted.mayAdmit(fixture.now));
 }
 
+TEST_CASE("The reports of all agents replace the uptime of an entry that has just started")
+{
+    EntryFixture fixture;
+    EntryDispatch restarted(EntryFixture::settings(), fixture.links, fixture.clients, fixture.log, fixture.now);
+    const Endpoint unheard{3, 7000};
+    restarted.addEntries(fixture.now, {unheard});
+    EntryReport list;
+    list.uptime = milliseconds(10);
+    const auto receiveReport = [&](std::vector<LiveEntry> named, std::vector<JobKey> formerJobs = {}) {
+        AgentReport report = fixture.makeReport();
+        report.examined = true;
+        report.liveEntries = std::move(named);
+        report.formerJobs = std::move(formerJobs);
+        restarted.onMessage(fixture.now, fixture.envelopeFrom(Agent, report));
+    };
+    const std::vector<LiveEntry> both{LiveEntry{Self.endpoint, Self.incarnation},
+                                      LiveEntry{OtherEntry.endpoint, OtherEntry.incarnation}};
+    receiveReport(both);
+    restarted.onMessage(fixture.now, fixture.envelopeFrom(OtherEntry, list));
+    // Without the lists in the store, the agents that were heard may not be all.
+    REQUIRE_FALSE(restarted.mayAdmit(fixture.now));
+    restarted.addListedAgents(fixture.now, {Agent.endpoint});
+    REQUIRE(restarted.mayAdmit(fixture.now));
+    SECTION("A job that an agent lists is refused, and does not hold up others")
+    {
+        receiveReport(both, {Job1.key()});
+        REQUIRE(restarted.mayAdmit(fixture.now));
+        restarted.submit(fixture.now, ClientTag(1), fixture.queue, Job1, EntryFixture::makeSpec(milliseconds(50)), seconds(2));
+        REQUIRE(fixture.clients.answers.at(1) == JobOutcome::GivenUp);
+        const JobId other = *JobId::parse("00000000000000a2");
+        restarted.submit(fixture.now, ClientTag(2), fixture.queue, other, EntryFixture::makeSpec(milliseconds(50)), seconds(2));
+        REQUIRE(fixture.clients.answers.count(2) == 0);
+    }
+    SECTION("A former incarnation that an agent has heard last may have runs")
+    {
+        const ProcessId former =
+            GENERATE(ProcessId{OtherEntry.endpoint, Incarnation(5)}, ProcessId{Self.endpoint, Incarnation(4)});
+        receiveReport({LiveEntry{former.endpoint, former.incarnation}});
+        REQUIRE_FALSE(restarted.mayAdmit(fixture.now));
+    }
+    SECTION("An entry that an agent has heard must have sent its list")
+    {
+        std::vector<LiveEntry> all = both;
+        all.push_back(LiveEntry{unheard, Incarnation(3)});
+        receiveReport(all);
+        REQUIRE_FALSE(restarted.mayAdmit(fixture.now));
+    }
+    SECTION("An agent of the fleet that is silent leaves the limits of time in force")
+    {
+        restarted.addListedAgents(fixture.now, {Endpoint{10, 7000}});
+        REQUIRE_FALSE(restarted.mayAdmit(fixture.now));
+        REQUIRE(restarted.mayAdmit(fixture.now + EntryFixture::settings().timing.coordination.admissionHold));
+    }
+}
+
+TEST_CASE("Entries that agents name in the first reports after a start have to confirm jobs at once")
+{
+    // Guards against two runs: they may have been alive for long, and admit a job that its client submits again.
+    const CoordinationTiming timing;
+    const TimePoint start{seconds(100)};
+    CoordinationRules rules(timing, start);
+    ListExchange other;
+    rules.recordName(start + milliseconds(50), other);
+    rules.recordNames(start + milliseconds(50), true);
+    REQUIRE(rules.mustConfirm(start + milliseconds(50), other));
+    ListExchange namedByAnotherAgent;
+    rules.recordName(start + milliseconds(300), namedByAnotherAgent);
+    rules.recordNames(start + milliseconds(300), true);
+    REQUIRE(rules.mustConfirm(start + milliseconds(300), namedByAnotherAgent));
+    // An entry that starts later admits no job that another one coordinates.
+    rules.recordNames(start + milliseconds(800), true);
+    ListExchange later;
+    rules.recordName(start + milliseconds(900), later);
+    rules.recordNames(start + milliseconds(900), true);
+    REQUIRE_FALSE(rules.mustConfirm(start + milliseconds(900), later));
+    REQUIRE(rules.mustConfirm(start + milliseconds(900) + timing.firstConfirmationTimeout, later));
+}
+
 TEST_CASE("A cancelled job is not started by the entry that acknowledged its cancellation and has restarted since")
 {
     const bool cancelledAtOther = GENERATE(false, true);
