--- a/spec/coordination.pml
+++ b/spec/coordination.pml
@@ -22,7 +22,7 @@
  *
  * Not modelled: agents that reach different entries (a partition with agents on both sides), cuts of one direction between an entry and the
  * agents (agents know an entry to be running by an echo, so that either cut ends its runs), messages that arrive more than a tick late,
- * agents that pause or crash, start orders in flight, jobs that A admits after a pause, B's own rule 3 (J never ends at B), drift of clocks.
+ * agents that pause or crash, admission by the evidence of the agents (fleet_evidence.pml), start orders in flight, jobs that A admits after a pause, B's own rule 3 (J never ends at B), drift of clocks.
  */
 
 #ifndef CUTS
