--- a/tests/dispatch_simulation.cpp
+++ b/tests/dispatch_simulation.cpp
@@ -203,6 +203,11 @@
     /// Schedules SimulationSettings::entryKills and agentFaults.
     void scheduleFaults();
     void injectAgentFault(const ScheduledAgentFault &fault);
+    void scheduleEvacuations();
+    /// Delivers the evacuated domains of the store to an entry, unless the store turns it away.
+    void deliverEvacuations(std::size_t entry);
+    /// Whether a server has been in an evacuated domain for longer than evacuationTimeout.
+    bool mustBeEmpty(const Server &server) const;
     /// Injects a random process fault and schedules the next one.
     void injectFault();
     /// Sets the CPU capacity of a backend server. Starts may still rely on the former one until it has been announced.
@@ -240,6 +245,8 @@
     TimestampedLog m_log;
     SimulationResult m_result;
     std::vector<std::unique_ptr<Process>> m_entries;
+    Evacuations m_evacuations{1, {}}; ///< As the store has them.
+    std::map<std::string, TimePoint> m_evacuatedSince;
     std::vector<std::unique_ptr<Process>> m_agents;
     std::vector<std::unique_ptr<Server>> m_servers;
     std::map<Endpoint, Process *> m_byEndpoint;
@@ -717,6 +724,9 @@
             if (used > server.usableCpuMilli(sim.m_now)) {
                 sim.recordViolation("running tasks exceed the capacity of server " + std::to_string(server.index));
             }
+            if (sim.mustBeEmpty(server)) {
+                sim.recordViolation("start in an evacuated domain: " + toString(order.run.task));
+            }
             sim.checkStart(order.run, server);
             if (job.spec->payload != *order.payload) {
                 sim.recordViolation("payload differs from the submitted one: " + toString(order.run.task));
@@ -952,8 +962,10 @@
     for (const std::unique_ptr<Process> &entry : m_entries) {
         settings.entries.push_back(entry->endpoint);
     }
+    settings.followsEvacuations = !m_settings.evacuations.empty();
     process.entry = std::make_unique<EntryDispatch>(settings, process, process, process.log, m_now);
     tick(process, process.generation);
+    deliverEvacuations(index);
     if (m_coordinationFaults) {
         m_coordinationFaults->onEntryStarted(process.endpoint);
         releaseClientsTo(process);
@@ -970,6 +982,7 @@
     settings.self = ProcessId{process.endpoint, Incarnation(static_cast<std::uint64_t>(m_now.time_since_epoch().count()))};
     settings.domain = "d" + std::to_string(index % 3);
     settings.service = "svc";
+    settings.followsEvacuations = !m_settings.evacuations.empty();
     settings.firstToken = FencingToken(std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count());
     for (const std::unique_ptr<Process> &entry : m_entries) {
         settings.entries.push_back(entry->endpoint);
@@ -1084,6 +1097,51 @@
     }
 }
 
+void DispatchSimulation::Impl::scheduleEvacuations()
+{
+    const auto change = [this](const std::string &domain, bool evacuated) {
+        if (evacuated) {
+            m_evacuatedSince.emplace(domain, m_now);
+        } else {
+            m_evacuatedSince.erase(domain);
+        }
+        ++m_evacuations.revision;
+        m_evacuations.domains.clear();
+        for (const std::pair<const std::string, TimePoint> &item : m_evacuatedSince) {
+            m_evacuations.domains.push_back(item.first);
+        }
+        for (std::size_t i = 0; i < m_entries.size(); ++i) {
+            deliverEvacuations(i);
+        }
+    };
+    for (const ScheduledEvacuation &evacuation : m_settings.evacuations) {
+        scheduleAfter(Duration(static_cast<std::int64_t>(evacuation.from * 1e6)),
+                      [change, evacuation]() { change(evacuation.domain, true); });
+        scheduleAfter(Duration(static_cast<std::int64_t>(evacuation.until * 1e6)),
+                      [change, evacuation]() { change(evacuation.domain, false); });
+    }
+}
+
+void DispatchSimulation::Impl::deliverEvacuations(std::size_t entry)
+{
+    Process &process = *m_entries[entry];
+    if (m_settings.evacuations.empty() || !process.up || m_settings.entriesWithoutStore.count(entry) > 0) {
+        return;
+    }
+    constexpr Duration MaxStoreDelay = milliseconds(20);
+    scheduleAfter(randomDuration(Duration(0), MaxStoreDelay),
+                  [this, &process, generation = process.generation, evacuations = m_evacuations]() {
+                      runInProcess(process, generation,
+                                   [this, &process, evacuations]() { process.entry->setEvacuations(m_now, evacuations); });
+                  });
+}
+
+bool DispatchSimulation::Impl::mustBeEmpty(const Server &server) const
+{
+    const std::map<std::string, TimePoint>::const_iterator since = m_evacuatedSince.find("d" + std::to_string(server.index % 3));
+    return since != m_evacuatedSince.end() && m_now - since->second > m_settings.evacuationTimeout;
+}
+
 void DispatchSimulation::Impl::injectAgentFault(const ScheduledAgentFault &fault)
 {
     static constexpr const char *FaultNames[] = {"kill", "pause", "cut-from-server", "slowdown", "lost-stops", "late-stops"};
@@ -1497,6 +1555,7 @@
     }
     scheduleServerCrashes();
     scheduleFaults();
+    scheduleEvacuations();
     const TimePoint loadStart = m_now + seconds(1);
     scheduleAt(loadStart, [this]() { submitNextJob(); });
     if (m_settings.faults.processFaults) {
--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -79,6 +79,14 @@
     Duration length{0};
 };
 
+/// A time in which a failure domain (d0, d1 or d2) is evacuated by a key in the store.
+struct ScheduledEvacuation
+{
+    std::string domain;
+    double from = 0; ///< In seconds since the start.
+    double until = 0;
+};
+
 /// Size, load and faults of a simulation.
 struct SimulationSettings
 {
@@ -113,6 +121,9 @@
     std::vector<ScheduledCrash> serverCrashes;
     std::vector<ScheduledEntryKill> entryKills;
     std::vector<ScheduledAgentFault> agentFaults;
+    std::vector<ScheduledEvacuation> evacuations; ///< Unless empty, the processes follow evacuations.
+    std::set<std::size_t> entriesWithoutStore; ///< Entries that the store turns away.
+    Duration evacuationTimeout = seconds(5); ///< Starts in an evacuated domain are violations after this time.
     /// Clients whose entry is killed submit their jobs again up to this much later than 1.3 s afterwards.
     Duration maxResubmitDelay{0};
     /// Calls of an agent to its server that may be outstanding at a time; further ones are not sent. 0 for no limit.
--- a/tools/platform_demo.py
+++ b/tools/platform_demo.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Demo of jobs on the platform: two entries and three agents as real processes, with stand-ins for the platform's store and servers.
 
-It submits a job, submits it again, and restarts an entry while the store is unavailable.
+It submits a job, submits it again, evacuates a failure domain, and restarts an entry while the store is unavailable.
 """
 
 import json
@@ -113,6 +113,32 @@
         return codes
 
 
+class DemoPlatform(Platform):
+    """Each agent, with its server, is a failure domain of its own."""
+
+    def settings(self, ip):
+        domain = "domain-%d" % (self.agents.index(ip) if ip in self.agents else 0)
+        return dict(super().settings(ip), failure_domain=domain, evacuation={"follow": True})
+
+
+def run_evacuation(platform):
+    """Evacuates the domain of the first server, and returns whether it got no task until the end of the evacuation."""
+    first, ok = platform.servers[0], True
+    print("== a failure domain is evacuated: its server gets no task until the end of the evacuation")
+    for key, used in (("op/evacuate/domain-0", False), ("", True)):
+        if key:
+            platform.store.put(key, "x")
+        else:
+            platform.store.remove("op/evacuate/domain-0")
+        time.sleep(0.6)  # Three heartbeats.
+        before = len(first.starts)
+        code, _, text = platform.submit(0, "00000000000000c%d" % used, 8, 60)
+        started = len(first.starts) - before
+        print(code, text, "starts at the server of domain-0:", started)
+        ok = ok and code == 200 and (started > 0) == used
+    return ok
+
+
 def run(platform):
     ok = platform.wait_ready()
     print("== a job of 12 tasks of 60 ms")
@@ -123,6 +149,7 @@
     code, _, text = platform.submit(0, "00000000000000aa", 12, 60)
     print(code, text, "starts:", len(platform.starts("00000000000000aa")))
     ok = ok and code == 200 and len(platform.starts("00000000000000aa")) == 12
+    ok = run_evacuation(platform) and ok
     print("== the store is unavailable: an entry restarts and gets the configuration from the other entry")
     platform.store.down = True
     platform.children[ENTRIES[1]].kill()
@@ -143,7 +170,7 @@
 
 def main():
     with tempfile.TemporaryDirectory() as directory:
-        platform = Platform(directory)
+        platform = DemoPlatform(directory)
         try:
             ok = run(platform)
         finally:
--- a/tools/platform_standin.py
+++ b/tools/platform_standin.py
@@ -61,7 +61,7 @@
     """Items with revisions, watches and leases. Leases never expire in this stand-in."""
 
     def __init__(self, address=("127.0.0.1", 0)):
-        self.items, self.revision, self.lease_count, self.down = {}, 100, 0, False
+        self.items, self.deletions, self.revision, self.lease_count, self.down = {}, {}, 100, 0, False
         self.changed = threading.Condition()
         self.http = Server(self, address)
 
@@ -71,8 +71,16 @@
             created = self.items.get(key, {"created": self.revision})["created"]
             self.items[key] = {"key": key, "value": base64.b64encode(value.encode()).decode(), "revision": self.revision,
                                "created": created, "lease": lease}
+            self.deletions.pop(key, None)
             self.changed.notify_all()
 
+    def remove(self, key):
+        with self.changed:
+            if self.items.pop(key, None):
+                self.revision += 1
+                self.deletions[key] = {"key": key, "revision": self.revision, "deleted": True}
+                self.changed.notify_all()
+
     def handle_request(self, method, path, query, body):
         if self.down:
             return 503, {}
@@ -96,7 +104,9 @@
 
     def watch(self, prefix, after, wait_ms):
         def events():
-            return [item for key, item in self.items.items() if key.startswith(prefix) and item["revision"] > after]
+            changes = list(self.items.values()) + list(self.deletions.values())
+            return sorted((change for change in changes if change["key"].startswith(prefix) and change["revision"] > after),
+                          key=lambda change: change["revision"])
 
         with self.changed:
             self.changed.wait_for(events, wait_ms / 1000.0)
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -8,6 +8,7 @@
   - the running tasks of a server never need more CPU than it has;
   - no task of a job starts after every attempt of its client was refused;
   - a job is reported as succeeded only if each of its tasks was completed;
+  - no task starts in an evacuated domain from EVACUATION_TIMEOUT_S after the operators' key until its removal;
   - no process ends by itself, whatever bytes it receives;
   - after the last fault, jobs succeed again within RECOVERY_TIMEOUT_S, and afterwards no task is still running.
 With --keep, the logs of a seed that violated an invariant are copied to DIRECTORY.
@@ -38,6 +39,13 @@
 RESUBMIT_INTERVAL_S = 1.3
 CLIENT_TIMEOUT_S = 5.0
 RECOVERY_TIMEOUT_S = 12.0
+DOMAINS = ["domain-a", "domain-b", "domain-c"]
+EVACUATION_TIMEOUT_S = 5.0
+
+
+def domain_of(ip):
+    """Failure domain of the process at `ip`."""
+    return DOMAINS[int(ip.split(".")[-1]) % len(DOMAINS)]
 
 
 class InvariantChecker:
@@ -47,6 +55,14 @@
         self.lock = threading.Lock()
         self.running, self.done, self.refused, self.violations = {}, set(), set(), []
         self.starts = 0
+        self.evacuated = {}  # When each evacuated domain was to be empty.
+
+    def record_evacuation(self, domain, begins):
+        with self.lock:
+            if begins:
+                self.evacuated[domain] = time.monotonic() + EVACUATION_TIMEOUT_S
+            else:
+                self.evacuated.pop(domain, None)
 
     def record_start(self, server, task, cpu_in_use):
         with self.lock:
@@ -57,6 +73,8 @@
                                        % (time.time(), task, server.name, [s.name for s in servers_running]))
             if cpu_in_use > SERVER_CPU_MILLI:
                 self.violations.append("%.3f: %d of %d milli-CPU in use on %s" % (time.time(), cpu_in_use, SERVER_CPU_MILLI, server.name))
+            if time.monotonic() > self.evacuated.get(server.domain, float("inf")):
+                self.violations.append("%.3f: task %s started on %s in evacuated %s" % (time.time(), task, server.name, server.domain))
             if task.split(".")[0] in self.refused:
                 self.violations.append("%.3f: task of a refused job started: %s" % (time.time(), task))
             servers_running.add(server)
@@ -86,7 +104,7 @@
 
     def __init__(self, name, checker, agent_address):
         super().__init__(SERVICE, agent_address, SERVER_CPU_MILLI)
-        self.name, self.checker = name, checker
+        self.name, self.checker, self.domain = name, checker, domain_of(name)
 
     def on_start(self, task):
         self.checker.record_start(self, task, TASK_CPU_MILLI * len(self.running))
@@ -121,6 +139,8 @@
         settings = super().settings(ip)
         settings["peer"].update(advertise="%s:%d" % (self.relay_host(ip), self.peer_port),
                                 entry_hosts=["%s:1" % self.relay_host(e) for e in ENTRIES])
+        settings["failure_domain"] = domain_of(ip)
+        settings["evacuation"] = {"follow": True}
         settings["store"]["address"] = "127.0.5.1:%d" % self.server_port
         if "server" in settings:
             settings["server"]["address"] = "%s:%d" % (self.relay_host(ip), self.server_port)
@@ -150,7 +170,7 @@
     def inject_fault(self):
         """Injects one random fault and returns its kind. Faults with a duration are ended by a timer, so several can overlap."""
         kind = self.rng.choice(["kill", "term", "pause", "hup", "reset", "delay", "cut", "silence", "store-down", "store-relay", "crash",
-                                "configure", "server-relay", "malformed"])
+                                "configure", "server-relay", "malformed", "evacuate"])
         self.fault_counts[kind] = self.fault_counts.get(kind, 0) + 1
         ip, seconds = self.rng.choice(ENTRIES + AGENTS), self.rng.uniform(0.2, 2.5)
         if kind == "kill" or kind == "term":
@@ -175,11 +195,20 @@
             self.rng.choice(self.servers).crash(seconds)
         elif kind == "malformed":
             self.send_malformed(ip)
+        elif kind == "evacuate" and not self.checker.evacuated:
+            domain = self.rng.choice(DOMAINS)
+            self.checker.record_evacuation(domain, True)
+            self.store.put("op/evacuate/" + domain, "x")
+            threading.Timer(self.rng.uniform(0.5, EVACUATION_TIMEOUT_S + 3), self.end_evacuation, (domain,)).start()
         elif kind == "configure":
             self.version += self.rng.randint(1, 5)
             self.configure(self.version)
         return kind
 
+    def end_evacuation(self, domain):
+        self.checker.record_evacuation(domain, False)
+        self.store.remove("op/evacuate/" + domain)
+
     def send_malformed(self, ip):
         """Sends random bytes, or a request with a random or truncated body, to every port of the process at `ip`."""
         ports = [self.peer_port, self.metrics_port] + ([self.client_port, self.ready_port] if ip in ENTRIES else [self.announce_port])
@@ -264,6 +293,8 @@
             if self.children[ip].poll() is not None:
                 self.start(ip)
         self.store.down = False
+        for domain in list(self.checker.evacuated):
+            self.end_evacuation(domain)
         deadline, served = time.monotonic() + RECOVERY_TIMEOUT_S, 0
         while time.monotonic() < deadline and served < 10:
             status = self.submit_job("%016x" % self.rng.getrandbits(60), 2, 30)
