--- a/tests/dispatch_simulation.h
+++ b/tests/dispatch_simulation.h
@@ -101,6 +101,14 @@
     bool agents = true; ///< False if only the entries end.
 };
 
+/// A time in which a failure domain (d0, d1 or d2) is evacuated by a key in the store.
+struct ScheduledEvacuation
+{
+    std::string domain;
+    double from = 0; ///< In seconds since the start.
+    double until = 0;
+};
+
 /// Size, load and faults of a simulation.
 struct SimulationSettings
 {
@@ -140,6 +148,9 @@
     std::vector<ScheduledAgentFault> agentFaults;
     std::vector<ScheduledFleetRestart> fleetRestarts;
     bool storeAnswers = true; ///< Whether entries can read the lists of agents from the store, and write theirs.
+    std::vector<ScheduledEvacuation> evacuations; ///< Unless empty, the processes follow evacuations.
+    std::set<std::size_t> entriesWithoutStore; ///< Entries that the store turns away.
+    Duration evacuationTimeout = seconds(5); ///< Starts in an evacuated domain are violations after this time.
     /// Clients whose entry is killed submit their jobs again up to this much later than 1.3 s afterwards.
     Duration maxResubmitDelay{0};
     /// Calls of an agent to its server that may be outstanding at a time; further ones are not sent. 0 for no limit.
