Unit tests of the usual-share policy and of gauges in the metrics text

Change: six cases in admission_tests with the demand of the fleet given by digests, one in metrics_text_tests.

--- a/src/core/dispatch/usual_share_admission.cpp
+++ b/src/core/dispatch/usual_share_admission.cpp
@@ -131,8 +131,8 @@
 AdmissionDecision UsualShareAdmission::decide(TimePoint now, const QueueRule &queue, double work, double backlog)
 {
     const QueueKey key = queueKey(queue.name);
-    if (m_queues.size() < m_configuredQueues + MaxUnconfiguredQueues) {
-        m_queues.try_emplace(key, QueueInfo{queue.name, queue.service, queue.urgency});
+    if (m_queues.count(key) == 0 && m_queues.size() < m_configuredQueues + MaxUnconfiguredQueues) {
+        m_queues.emplace(key, QueueInfo{queue.name, queue.service, queue.urgency});
     }
     const double shedFraction = LoadShedding::shedFraction(backlog);
     const double meanFraction = updateMeanFraction(now, queue.service, shedFraction);
--- a/tests/admission_tests.cpp
+++ b/tests/admission_tests.cpp
@@ -476,3 +476,128 @@
     REQUIRE(weighted.queues.at("age-grade").lost() > equal.queues.at("age-grade").lost());
     REQUIRE(weighted.queues.at("chip-read").refused == 0.0);
 }
+
+namespace
+{
+
+/// Feeds a policy with the demand of the fleet by a digest, and measures which fraction of a queue's jobs it refuses. The jobs'
+/// own work is negligible.
+class RefusalProbe
+{
+public:
+    void addQueue(const std::string &name, std::uint32_t urgency, double usualCores, double presentCores,
+                  const std::string &service = "svc")
+    {
+        std::shared_ptr<QueueRule> rule = std::make_shared<QueueRule>();
+        rule->name = name;
+        rule->service = service;
+        rule->urgency = urgency;
+        m_config.queues.push_back(std::move(rule));
+        m_digest.push_back(QueueDemand{queueKey(name), usualCores * 1e3, presentCores * 1e3});
+    }
+
+    /// Fraction that is refused of each queue's jobs if this fraction of the less urgent work has to be refused.
+    std::map<std::string, double> refused(double fraction, std::map<std::string, double> weights = {}) const
+    {
+        double backlog = 0;
+        while (LoadShedding::shedFraction(backlog) < fraction) {
+            backlog += 0.0001;
+        }
+        UsualShareAdmission policy(std::move(weights));
+        policy.setQueues(m_config);
+        std::map<std::string, double> result;
+        const int rounds = 1000;
+        const double ownWork = 2e-3; // LoadShedding forgets queues with less.
+        TimePoint now = Start;
+        // The entry measures its own demand first, and the mean shed fraction settles before the decisions are counted.
+        for (int i = -2 * rounds; i < rounds; ++i, now += milliseconds(5)) {
+            if (i >= -rounds && i % 100 == 0) {
+                REQUIRE(policy.receiveDigest(now, Endpoint{2, 7000}, m_digest));
+            }
+            for (const std::shared_ptr<const QueueRule> &queue : m_config.queues) {
+                const bool refused = policy.decide(now, *queue, ownWork, backlog) != AdmissionDecision::Admit;
+                result[queue->name] += i >= 0 && refused ? 1.0 / rounds : 0.0;
+            }
+        }
+        return result;
+    }
+
+private:
+    QueueConfig m_config;
+    std::vector<QueueDemand> m_digest;
+};
+
+} // namespace
+
+TEST_CASE("Surges are cut in proportion, and other queues lose nothing while the surges suffice")
+{
+    RefusalProbe probe;
+    probe.addQueue("urgent", 0, 20, 20);
+    probe.addQueue("large", 1, 50, 50);
+    probe.addQueue("a", 1, 10, 30);
+    probe.addQueue("b", 2, 10, 20);
+    // 20 of 100 cores of less urgent demand are refused; the surges are 20 and 10 cores beyond the usual demand.
+    const std::map<std::string, double> refused = probe.refused(0.2);
+    CHECK(refused.at("urgent") == 0.0);
+    CHECK(refused.at("large") == 0.0);
+    CHECK(refused.at("a") * 30 + refused.at("b") * 20 == Approx(20).epsilon(0.05));
+    CHECK(refused.at("a") * 30 == Approx(2 * refused.at("b") * 20).epsilon(0.1));
+}
+
+TEST_CASE("If the surges do not suffice, the queues with the highest remaining demand are cut")
+{
+    RefusalProbe probe;
+    probe.addQueue("large", 1, 70, 70);
+    probe.addQueue("small", 1, 10, 10);
+    probe.addQueue("surging", 1, 10, 20);
+    const std::map<std::string, double> refused = probe.refused(0.4);
+    CHECK(refused.at("surging") * 20 == Approx(10).epsilon(0.1));
+    CHECK(refused.at("large") * 70 == Approx(30).epsilon(0.05));
+    CHECK(refused.at("small") == 0.0);
+}
+
+TEST_CASE("Usual demand that a queue does not use is lent to those that surge")
+{
+    // Guards against a queue that is cut although another one has left it the room.
+    RefusalProbe probe;
+    probe.addQueue("idle", 1, 10, 0);
+    probe.addQueue("large", 1, 60, 60);
+    probe.addQueue("grown", 2, 20, 40);
+    // 20 cores are refused. Half of the surge of 20 cores uses what `idle` leaves.
+    const std::map<std::string, double> refused = probe.refused(0.2);
+    CHECK(refused.at("grown") * 40 == Approx(10).epsilon(0.05));
+    CHECK(refused.at("large") * 60 == Approx(10).epsilon(0.05));
+}
+
+TEST_CASE("Queues of other services neither lend nor take demand")
+{
+    RefusalProbe probe;
+    probe.addQueue("elsewhere", 1, 100, 0, "other");
+    probe.addQueue("steady", 1, 50, 50);
+    probe.addQueue("surging", 1, 20, 50);
+    const std::map<std::string, double> refused = probe.refused(0.2);
+    CHECK(refused.at("steady") == 0.0);
+    CHECK(refused.at("surging") * 50 == Approx(20).epsilon(0.05));
+}
+
+TEST_CASE("A surge of an urgent queue is not refused, and the others make room for it")
+{
+    RefusalProbe probe;
+    probe.addQueue("urgent", 0, 20, 60);
+    probe.addQueue("large", 1, 50, 50);
+    probe.addQueue("surging", 1, 10, 25);
+    const std::map<std::string, double> refused = probe.refused(0.2);
+    CHECK(refused.at("urgent") == 0.0);
+    CHECK(refused.at("large") * 50 + refused.at("surging") * 25 == Approx(15).epsilon(0.05));
+    CHECK(refused.at("surging") * 25 > 6);
+}
+
+TEST_CASE("If all less urgent work has to be refused, all of it is")
+{
+    RefusalProbe probe;
+    probe.addQueue("steady", 1, 50, 50);
+    probe.addQueue("surging", 1, 20, 50);
+    const std::map<std::string, double> refused = probe.refused(1.0);
+    CHECK(refused.at("steady") == Approx(1.0).margin(0.01));
+    CHECK(refused.at("surging") == Approx(1.0).margin(0.01));
+}
--- a/tests/metrics_text_tests.cpp
+++ b/tests/metrics_text_tests.cpp
@@ -32,6 +32,15 @@
     REQUIRE(histograms.all().at(NamedHistograms::Others).count() == 500 - NamedHistograms::MaxNames);
 }
 
+TEST_CASE("Gauges are rendered with one sample per label value")
+{
+    MetricsText metrics;
+    metrics.add("queue_usual_cpu", "queue", std::map<std::string, double>{{"a\"b", 12.5}, {"c", 0.0}});
+    REQUIRE(metrics.text()
+            == "# TYPE cuminscale_queue_usual_cpu gauge\ncuminscale_queue_usual_cpu{queue=\"a\\\"b\"} 12.5\n"
+               "cuminscale_queue_usual_cpu{queue=\"c\"} 0\n");
+}
+
 TEST_CASE("Histograms are rendered with cumulative buckets, sum and count")
 {
     NamedHistograms histograms;
