--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -12,6 +12,7 @@
 #include "core/dispatch/run_ledger.h"
 #include "core/dispatch/server_clock.h"
 #include "core/dispatch/server_progress.h"
+#include "core/dispatch/server_speed.h"
 
 #include <deque>
 #include <functional>
@@ -373,6 +374,7 @@
     TimePoint m_entriesSelectedAt;
     TimePoint m_startedAt;
     ServerProgress m_progress;
+    ServerSpeed m_speed;
     bool m_reportedSuspect = false;
     TimePoint m_progressCheckedAt;
     ConfigBlob m_config;
