Tasks wait near their data only for as long as that pays

Cause: the factor for tasks away from their data was a constant (1.5), and nothing limited the wait near it: while many jobs want one rack, they wait there although the rest of the fleet is free. Run times away from the data counted as slowness of the server.

Change: with placement.remote_data_factor, DataLocality chooses between the best server on the rack and the best one off it, and orders near the data carry waitWithin. Agents hand a task back at the limit (RefusalReason::WaitExpired), and the entry places it again without waiting there. Run times are divided by the factor before they count for estimates and servers' speeds. Without the setting, placement is as before.

--- a/src/adapters/dispatch_codec.cpp
+++ b/src/adapters/dispatch_codec.cpp
@@ -360,7 +360,7 @@
         decoded.run = decodeRunRef(event.run());
         decoded.kind = decodeEnum(event.kind(), RunEvent::Kind::Ended);
         decoded.end = decodeEnum(event.end(), RunEnd::NeverStarted);
-        decoded.reason = decodeEnum(event.reason(), RefusalReason::Cancelled);
+        decoded.reason = decodeEnum(event.reason(), RefusalReason::WaitExpired);
         decoded.ran = Duration(event.ran_us());
         decoded.serverUnresponsive = event.late_server();
         report.events.push_back(decoded);
--- a/src/core/dispatch/agent_dispatch.cpp
+++ b/src/core/dispatch/agent_dispatch.cpp
@@ -128,6 +128,7 @@
     record.queuedAt = now;
     record.inTimeBy = now + order.inTimeWithin - age;
     record.startBy = now + order.startWithin - age;
+    record.waitUntil = order.waitWithin > Duration(0) ? now + order.waitWithin - age : TimePoint();
     if (reason != RefusalReason::None) {
         refuseRun(now, record, reason);
         return;
@@ -260,6 +261,8 @@
 void AgentDispatch::refuseExpiredRuns(TimePoint now)
 {
     refuseQueuedRuns(now, RefusalReason::Expired, [now](const RunRecord &record) { return record.startBy < now; });
+    refuseQueuedRuns(now, RefusalReason::WaitExpired,
+                     [now](const RunRecord &record) { return record.waitUntil != TimePoint() && record.waitUntil < now; });
 }
 
 void AgentDispatch::refuseQueuedRuns(TimePoint now, RefusalReason reason)
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -85,6 +85,7 @@
     Duration defaultDeadline = seconds(30); ///< For requests without a deadline.
     /// Run time of a task away from the rack of its data, as a multiple of that near it.
     double remoteDataFactor = 1.5;
+    bool decidesDataLocality = false; ///< Whether DataLocality limits the waits near the data of tasks.
     bool followsEvacuations =
         false; ///< Whether operators evacuate failure domains; no job is admitted before their state is known.
     AdmissionPolicy admission = AdmissionPolicy::LargestFirst;
@@ -114,6 +115,9 @@
     std::uint64_t runsHandedBack = 0; ///< Reported by the agent as RunEnd::NeverStarted.
     std::uint64_t runsFailed = 0;
     std::uint64_t runsRestarted = 0; ///< Stopped to run elsewhere.
+    std::uint64_t placementsNear = 0; ///< Tasks sent to a server near their data.
+    std::uint64_t placementsRemote = 0; ///< Tasks with data on a rack that were sent elsewhere.
+    std::uint64_t waitsExpired = 0; ///< Runs that were handed back because they waited near their data until the limit.
     std::uint64_t ordersRepeated = 0; ///< Start orders retransmitted.
     std::uint64_t connectionsReplaced = 0;
     std::uint64_t configsFromPeers = 0;
@@ -391,6 +395,11 @@
     Duration sendStartOrder(TimePoint now, AgentView &agent, Job &job, std::uint32_t stepIndex,
                             const std::vector<OrderedRun> &runs);
     void placeWaitingTasks(TimePoint now, Job &job);
+    /// Notes in the tasks, the counters and the log which of them were sent away from the rack of their data.
+    void recordLocality(TimePoint now, Job &job, std::uint32_t stepIndex, const std::vector<std::uint32_t> &tasks,
+                        const std::vector<Placement> &places);
+    /// Counts whether a task that was sent near its data has started there or has been handed back.
+    void recordWait(TimePoint now, const Job &job, const TaskRef &ref, TaskState &task, bool started);
     void unblockSteps(Job &job);
     void checkRuns(TimePoint now, Job &job);
     /// Whether the last start order of a task is overdue and was not merely delayed.
@@ -474,6 +483,7 @@
     EarliestFinish m_placement;
     CrashHistory m_crashes;
     QueueIsolation m_isolation;
+    DataLocality m_locality;
     LoadShedding m_loadShedding;
     CpuOverloadDetector m_cpuOverload;
     std::map<Endpoint, EntryPeer> m_entries;
--- a/src/core/dispatch/entry_runs.cpp
+++ b/src/core/dispatch/entry_runs.cpp
@@ -51,10 +51,13 @@
     request.timeToObjective = job.objectiveDeadline - now - NetworkTime;
     request.requiredLabel = spec.requiredLabel;
     request.preferredRack = spec.preferredRack;
+    request.remoteDataFactor = m_settings.remoteDataFactor;
+    request.locality = m_settings.decidesDataLocality ? &m_locality : nullptr;
     request.maxPerServer = spec.maxPerServer;
     for (const std::uint32_t i : waiting) {
         const std::vector<Endpoint> &avoid = step.tasks[i].avoid;
         request.avoid.insert(request.avoid.end(), avoid.begin(), avoid.end());
+        request.handedBack = request.handedBack || step.tasks[i].handedBack;
     }
     for (const TaskState &task : step.tasks) {
         if (task.isOutstanding() || task.phase == TaskState::Phase::Done) {
@@ -122,6 +125,7 @@
 void EntryDispatch::assignTasks(TimePoint now, Job &job, std::uint32_t stepIndex, const std::vector<std::uint32_t> &tasks,
                                 const std::vector<Placement> &places)
 {
+    recordLocality(now, job, stepIndex, tasks, places);
     std::map<Endpoint, std::vector<OrderedRun>> byAgent;
     for (std::size_t i = 0; i < tasks.size(); ++i) {
         TaskState &task = job.steps[stepIndex].tasks[tasks[i]];
@@ -157,7 +161,10 @@
     start.step = stepIndex;
     start.need = job.spec->steps[stepIndex].need;
     start.urgency = job.queue->urgency;
-    start.estimate = scaled(job.steps[stepIndex].expectedRun, agent.health.slowness(now));
+    // The tasks of an order are on one server and were placed together.
+    const TaskState &task = job.steps[stepIndex].tasks[runs.front().index];
+    start.estimate = scaled(job.steps[stepIndex].expectedRun, agent.health.slowness(now) * task.dataFactor);
+    start.waitWithin = task.waitUntil == TimePoint() ? Duration(0) : std::max(task.waitUntil - now, Duration(1));
     start.inTimeWithin = std::max(job.objectiveDeadline - now - start.estimate - NetworkTime, Duration(0));
     start.startWithin = std::max(job.clientDeadline - now - start.estimate, Duration(0));
     start.payload = job.payload;
@@ -190,6 +197,7 @@
         }
         break;
     case RunEvent::Kind::Started:
+        recordWait(now, job, event.run.task, task, true);
         job.started = true;
         task.phase = TaskState::Phase::Running;
         task.startedAt = now;
@@ -204,6 +212,8 @@
 {
     StepState &step = job.steps[event.run.task.step];
     const JobId id = job.id;
+    // Comparisons of run times are about the server, and not about where the data is.
+    const Duration ran = scaled(event.ran, 1.0 / task.dataFactor);
     agent.outstandingRuns -= agent.outstandingRuns > 0 ? 1 : 0;
     job.started = job.started || event.end != RunEnd::NeverStarted;
     task.phase = TaskState::Phase::Waiting;
@@ -211,12 +221,12 @@
     case RunEnd::Done:
         task.phase = TaskState::Phase::Done;
         ++step.done;
-        step.longestRunTime = std::max(step.longestRunTime, event.ran);
-        task.runTime = event.ran;
+        step.longestRunTime = std::max(step.longestRunTime, ran);
+        task.runTime = ran;
         step.runTimesValid = step.runTimesValid && !event.serverUnresponsive;
         agent.health.recordDone(now);
         if (!event.serverUnresponsive && agent.health.slowness(now) < SlowServerFactor) {
-            m_estimates[job.queue->name].record(job.spec->steps[event.run.task.step].estimate, event.ran);
+            m_estimates[job.queue->name].record(job.spec->steps[event.run.task.step].estimate, ran);
         }
         if (step.done == step.tasks.size() && step.runTimesValid) {
             compareRunTimes(now, step);
@@ -237,7 +247,7 @@
         if (!job.answer && !event.serverUnresponsive) {
             // The elapsed time is a lower bound of the run time, so it counts as evidence of the server's speed.
             const bool hasSiblings = step.longestRunTime > Duration(0);
-            agent.health.recordRunTimeRatio(now, ratio(event.ran, hasSiblings ? step.longestRunTime : step.expectedRun),
+            agent.health.recordRunTimeRatio(now, ratio(ran, hasSiblings ? step.longestRunTime : step.expectedRun),
                                             hasSiblings ? evidence::SiblingRunWeight : evidence::DeclaredTimeWeight);
         }
         task.avoid.push_back(agent.endpoint);
@@ -245,6 +255,9 @@
     case RunEnd::NeverStarted:
         ++m_counters.runsHandedBack;
         task.avoid.push_back(agent.endpoint);
+        if (event.reason == RefusalReason::WaitExpired) {
+            recordWait(now, job, event.run.task, task, false);
+        }
         if (event.reason == RefusalReason::RunNumberUsed) {
             task.run = RunNumber(task.run.value() + RunNumberSkip);
             task.avoid.pop_back();
--- a/src/core/dispatch/entry_supervision.cpp
+++ b/src/core/dispatch/entry_supervision.cpp
@@ -42,7 +42,8 @@
         }
         const AgentView *agent = m_fleet.find(task.agent);
         const Duration elapsed = now - task.startedAt;
-        const Duration expected = std::max(halfCompleted ? step.longestRunTime : step.expectedRun, task.minimumRunTime);
+        const Duration expected =
+            std::max(scaled(halfCompleted ? step.longestRunTime : step.expectedRun, task.dataFactor), task.minimumRunTime);
         const bool suspect = agent != nullptr && agent->load.suspect;
         const double limit = suspect ? 1.0 : (halfCompleted ? SiblingOverdueFactor : EstimateOverdueFactor);
         const bool overdue = elapsed > scaled(expected, limit) + OverdueMargin;
@@ -94,7 +95,7 @@
     for (const TaskState &task : step.tasks) {
         if (task.phase == TaskState::Phase::Running && !task.stopSent) {
             Duration &most = longest[task.agent];
-            most = std::max(most, now - task.startedAt);
+            most = std::max(most, scaled(now - task.startedAt, 1.0 / task.dataFactor));
         }
     }
     const bool hasSiblings = step.longestRunTime > Duration(0);
--- a/src/core/dispatch/job.h
+++ b/src/core/dispatch/job.h
@@ -32,6 +32,10 @@
     std::vector<Endpoint> avoid; ///< Agents on which a run of it did not complete.
     /// Lower bound of the task's run time: how long a run had lasted on a server that seemed healthy when it was stopped.
     Duration minimumRunTime{0};
+    double dataFactor = 1.0; ///< Run time on its server as a multiple of that near its data.
+    bool nearData = false; ///< Sent to a server near its data by DataLocality.
+    bool handedBack = false; ///< A run of it has waited near its data until the limit.
+    TimePoint waitUntil; ///< See StartOrder::waitWithin; zero for no limit.
 
     /// Whether an agent may have a run of the task.
     bool isOutstanding() const noexcept
--- a/src/core/dispatch/placement.cpp
+++ b/src/core/dispatch/placement.cpp
@@ -12,8 +12,6 @@
 constexpr Duration OtherDomainCost = milliseconds(6);
 /// Cost of a server that has no task of this request yet: one more message.
 constexpr Duration AdditionalServerCost = milliseconds(4);
-/// A task takes this many times as long on the platform if its data is on another rack.
-constexpr double RemoteRackFactor = 1.5;
 /// Additional cost of a fully loaded server over an idle one, so that ties go to the less loaded server.
 constexpr double LoadCostUs = 15000.0;
 /// Cost of a second concurrent run on a server on probation: accepted only if the wait at all other servers is longer than this.
@@ -31,6 +29,7 @@
     std::uint32_t stepTasks = 0; ///< Of the same step, including earlier requests.
     std::uint32_t runsAllowed = 0; ///< Limited while the server is on probation.
     bool avoided = false;
+    bool remoteData = false; ///< Not on the preferred rack.
     Duration run{0}; ///< Expected run time on this server.
     Duration roundTrip{0}; ///< Of messages to the agent.
     double fixedCost = 0; ///< Independent of the server's load.
@@ -45,8 +44,8 @@
 Duration runTime(const AgentView &agent, const PlacementRequest &request, TimePoint now)
 {
     double run = static_cast<double>(request.expectedRun.count()) * agent.health.slowness(now);
-    if (!request.preferredRack.empty() && !agent.hasLabel(request.preferredRack)) {
-        run *= RemoteRackFactor;
+    if (!agent.hasLabel(request.preferredRack)) {
+        run *= request.remoteDataFactor;
     }
     return Duration(static_cast<std::int64_t>(run));
 }
@@ -70,6 +69,7 @@
             || (request.isolation == Isolation::Preferred && !isolationServer);
         Candidate candidate;
         candidate.agent = &agent;
+        candidate.remoteData = !agent.hasLabel(request.preferredRack);
         candidate.run = runTime(agent, request, now);
         candidate.roundTrip = agent.session.roundTrip(now);
         candidate.free = agent.availableFor(request.timeToObjective - candidate.run - candidate.roundTrip, request.urgency, now);
@@ -99,36 +99,77 @@
     return total;
 }
 
+/// The candidate of the lowest cost.
+struct Best
+{
+    Candidate *candidate = nullptr;
+    double cost = 0;
+    Duration wait{0};
+
+    void consider(Candidate &other, double otherCost, Duration otherWait)
+    {
+        if (candidate == nullptr || otherCost < cost) {
+            *this = Best{&other, otherCost, otherWait};
+        }
+    }
+
+    std::optional<DataLocality::Option> option() const
+    {
+        if (candidate == nullptr) {
+            return std::nullopt;
+        }
+        const Duration total(static_cast<std::int64_t>(cost));
+        return DataLocality::Option{wait, candidate->run, total - wait - candidate->run};
+    }
+};
+
+double utilisation(const std::vector<Candidate> &candidates)
+{
+    double free = 0;
+    double capacity = 0;
+    for (const Candidate &candidate : candidates) {
+        free += static_cast<double>(std::max<std::int64_t>(candidate.free.cpuMilli, 0));
+        capacity += static_cast<double>(candidate.agent->load.capacity.cpuMilli);
+    }
+    return capacity == 0 ? 0.0 : 1.0 - free / capacity;
+}
+
 } // namespace
 
 std::vector<Placement> EarliestFinish::place(FleetView &fleet, const PlacementRequest &request, TimePoint now) const
 {
     std::vector<Candidate> eligible = candidates(fleet, request, now);
+    const bool decidesLocality = request.locality != nullptr && !request.preferredRack.empty();
+    const double used = decidesLocality ? utilisation(eligible) : 0.0;
     std::vector<Placement> places;
     for (std::uint32_t task = 0; task < request.tasks; ++task) {
-        Candidate *best = nullptr;
-        double bestCost = 0;
-        Duration bestWait{0};
+        Best best;
+        Best remote; // Servers off the rack, if they are compared separately.
         for (Candidate &candidate : eligible) {
             const bool full = request.maxPerServer > 0 && candidate.stepTasks >= request.maxPerServer;
             if (full) {
                 continue;
             }
             const Duration wait = candidate.agent->expectedWait(request.need, candidate.free);
-            const double total = cost(candidate, wait);
-            if (best == nullptr || total < bestCost) {
-                best = &candidate;
-                bestCost = total;
-                bestWait = wait;
-            }
+            Best &group = decidesLocality && candidate.remoteData ? remote : best;
+            group.consider(candidate, cost(candidate, wait), wait);
+        }
+        DataLocality::Choice choice;
+        if (decidesLocality) {
+            choice = request.locality->choose(
+                now, {request.preferredRack, best.option(), remote.option(), request.timeToObjective, used, request.handedBack});
+            best = choice.near ? best : remote;
+            best.wait = choice.wait;
         }
-        if (best == nullptr) {
+        if (best.candidate == nullptr) {
             return {};
         }
-        best->free -= request.need;
-        ++best->tasks;
-        ++best->stepTasks;
-        places.push_back(Placement{best->agent, bestWait, bestWait + best->run, best->roundTrip});
+        Candidate &chosen = *best.candidate;
+        chosen.free -= request.need;
+        ++chosen.tasks;
+        ++chosen.stepTasks;
+        places.push_back(
+            Placement{chosen.agent, best.wait, best.wait + chosen.run, chosen.roundTrip, chosen.remoteData, choice.waitWithin});
     }
     return places;
 }
@@ -139,7 +180,7 @@
     std::vector<Placement> places;
     for (std::uint32_t task = 0; task < request.tasks && !eligible.empty(); ++task) {
         Candidate &next = eligible[m_next++ % eligible.size()];
-        places.push_back(Placement{next.agent, Duration(0), request.expectedRun, Duration(0)});
+        places.push_back(Placement{next.agent, Duration(0), request.expectedRun, Duration(0), next.remoteData, Duration(0)});
     }
     return places;
 }
--- a/src/core/dispatch/placement.h
+++ b/src/core/dispatch/placement.h
@@ -1,6 +1,7 @@
 /// Assignment of a step's tasks to agents.
 #pragma once
 
+#include "core/dispatch/data_locality.h"
 #include "core/dispatch/fleet_view.h"
 
 #include <set>
@@ -26,6 +27,11 @@
     Duration timeToObjective{0}; ///< From now to the job's objective.
     std::string requiredLabel;
     std::string preferredRack;
+    /// Run time of a task away from preferredRack, as a multiple of that near it.
+    double remoteDataFactor = 1.5;
+    /// Decides between servers on preferredRack and others; if null, the earliest expected finish does.
+    const DataLocality *locality = nullptr;
+    bool handedBack = false; ///< One of these tasks has waited on preferredRack until the limit.
     std::uint32_t maxPerServer = 0;
     std::uint32_t urgency = 0; ///< Of the queue; 0 is the most urgent.
     std::uint32_t tasks = 1;
@@ -42,6 +48,8 @@
     Duration wait{0};
     Duration finish{0}; ///< Expected, from now, without the time that messages take.
     Duration roundTrip{0}; ///< Of messages to the agent and back.
+    bool remoteData = false; ///< The server is not on the task's preferred rack.
+    Duration waitWithin{0}; ///< As in StartOrder.
 };
 
 class PlacementPolicy
--- a/src/core/dispatch/run_ledger.h
+++ b/src/core/dispatch/run_ledger.h
@@ -32,6 +32,7 @@
     State state = State::Queued;
     TimePoint inTimeBy; ///< Latest start at which the job ends within its objective.
     TimePoint queuedAt;
+    TimePoint waitUntil; ///< A run that is still queued is handed back then; zero for no limit. See StartOrder::waitWithin.
     TimePoint startBy; ///< Start deadline; a run that is still queued is refused then.
     TimePoint startedAt; ///< When the resources were booked and the first start request was sent.
     ServerTime notAfter; ///< On its own clock, the server rejects all start requests after this time.
--- a/src/core/dispatch/types.cpp
+++ b/src/core/dispatch/types.cpp
@@ -125,8 +125,9 @@
 
 const char *toString(RefusalReason reason) noexcept
 {
-    constexpr const char *Names[] = {"none",      "no-server",       "draining",         "no-room",     "expired", "too-old",
-                                     "duplicate", "run-number-used", "server-unhealthy", "unreachable", "invalid", "cancelled"};
+    constexpr const char *Names[] = {"none",    "no-server", "draining",        "no-room",          "expired",
+                                     "too-old", "duplicate", "run-number-used", "server-unhealthy", "unreachable",
+                                     "invalid", "cancelled", "wait-expired"};
     return Names[static_cast<std::size_t>(reason)];
 }
 
--- a/src/core/dispatch/types.h
+++ b/src/core/dispatch/types.h
@@ -230,6 +230,7 @@
     Unreachable,
     Invalid,
     Cancelled,
+    WaitExpired, ///< It waited near its data until StartOrder::waitWithin.
 };
 
 const char *toString(RunEnd end) noexcept;
--- a/src/daemon/dispatch_settings.cpp
+++ b/src/daemon/dispatch_settings.cpp
@@ -73,14 +73,15 @@
 {
     BOOST_LEAF_AUTO(placement, root.object("placement"));
     BOOST_LEAF_CHECK(placement.allow({"remote_data_factor"}));
-    const double factor = settings.remoteDataFactor;
-    settings.remoteDataFactor =
-        leaf::try_handle_all([&]() { return placement.fraction("remote_data_factor", factor, 1.0, MaxRemoteDataFactor); },
+    const double factor =
+        leaf::try_handle_all([&]() { return placement.fraction("remote_data_factor", 0.0, 1.0, MaxRemoteDataFactor); },
                              [&](const JsonError &e) {
                                  settings.warnings.push_back(e.path + ": " + e.reason);
-                                 return factor;
+                                 return 0.0;
                              },
-                             [factor]() { return factor; });
+                             []() { return 0.0; });
+    settings.decidesDataLocality = factor > 0.0;
+    settings.remoteDataFactor = settings.decidesDataLocality ? factor : settings.remoteDataFactor;
     BOOST_LEAF_AUTO(admission, root.object("admission"));
     BOOST_LEAF_CHECK(admission.allow({"policy", "weights", "hold_jobs"}));
     BOOST_LEAF_AUTO(policy, admission.string("policy", "largest-first"));
--- a/src/daemon/dispatch_settings.h
+++ b/src/daemon/dispatch_settings.h
@@ -34,6 +34,7 @@
     Duration stopGrace = seconds(6); ///< Time from SIGTERM until the platform kills the process.
     std::string logLevel = "info";
     double remoteDataFactor = 1.5; ///< Entries: run time of a task away from the rack of its data, as a multiple.
+    bool decidesDataLocality = false; ///< Whether that factor is set; entries limit the waits near the data of tasks then.
     bool followsEvacuations = false; ///< Whether operators evacuate failure domains.
     dispatch::AdmissionPolicy admission = dispatch::AdmissionPolicy::LargestFirst; ///< Entries.
     std::map<std::string, double> queueWeights; ///< Entries: by queue; 1 for the others.
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -31,6 +31,7 @@
     entry.domain = settings.domain;
     entry.entries = settings.entries;
     entry.remoteDataFactor = settings.remoteDataFactor;
+    entry.decidesDataLocality = settings.decidesDataLocality;
     entry.followsEvacuations = settings.followsEvacuations;
     entry.admission = settings.admission;
     entry.queueWeights = settings.queueWeights;
@@ -165,6 +166,9 @@
         {"runs_handed_back", counters.runsHandedBack},
         {"runs_failed", counters.runsFailed},
         {"runs_restarted", counters.runsRestarted},
+        {"placements_near", counters.placementsNear},
+        {"placements_remote", counters.placementsRemote},
+        {"waits_expired", counters.waitsExpired},
         {"orders_repeated", counters.ordersRepeated},
         {"connections_replaced", counters.connectionsReplaced},
         {"configs_from_peers", counters.configsFromPeers},
--- a/tests/agent_dispatch_tests.cpp
+++ b/tests/agent_dispatch_tests.cpp
@@ -1137,3 +1137,28 @@
     fixture.tickFor(milliseconds(300));
     REQUIRE(fixture.reportsAccepting());
 }
+
+TEST_CASE("A task that waits near its data is handed back at the limit of its order, and one without a limit waits on")
+{
+    AgentFixture fixture;
+    fixture.tickFor(milliseconds(300));
+    fixture.receiveFromEntry(fixture.makeOrder("00000000000000c1", milliseconds(500), milliseconds(900), 4));
+    REQUIRE(fixture.server.starts.size() == 4);
+    const bool limited = GENERATE(true, false);
+    fixture.messageAge = milliseconds(20);
+    StartOrder order = fixture.makeOrder("00000000000000c2", milliseconds(100), milliseconds(900), 1);
+    order.waitWithin = limited ? milliseconds(65) : Duration(0);
+    fixture.receiveFromEntry(order);
+    REQUIRE(fixture.agent.ledger().waiting() == 1);
+    // The limit counts from the sending of the order.
+    fixture.tickFor(milliseconds(45));
+    REQUIRE(fixture.agent.ledger().waiting() == 1);
+    fixture.tickFor(milliseconds(15));
+    REQUIRE(fixture.agent.ledger().waiting() == (limited ? 0 : 1));
+    if (limited) {
+        const RunEvent event = fixture.lastReport().events.back();
+        REQUIRE(event.run.task.job == order.job);
+        REQUIRE(event.end == RunEnd::NeverStarted);
+        REQUIRE(event.reason == RefusalReason::WaitExpired);
+    }
+}
--- a/tests/dispatch_codec_tests.cpp
+++ b/tests/dispatch_codec_tests.cpp
@@ -222,3 +222,16 @@
     REQUIRE(start.baseline == milliseconds(60));
     REQUIRE(start.waitWithin == milliseconds(40));
 }
+
+TEST_CASE("Every reason for which an agent hands back a task is transmitted")
+{
+    // An entry that takes the reason for an invalid one drops the whole report, and waits for the task in vain.
+    for (std::uint8_t value = 0; value <= static_cast<std::uint8_t>(RefusalReason::WaitExpired); ++value) {
+        Envelope envelope = sampleReport();
+        std::get<AgentReport>(envelope.message).events.at(0).reason = static_cast<RefusalReason>(value);
+        const std::optional<Envelope> decoded = decode(encode(envelope));
+        REQUIRE(decoded);
+        REQUIRE(std::get<AgentReport>(decoded->message).events.at(0).reason == static_cast<RefusalReason>(value));
+    }
+    REQUIRE(std::string(toString(RefusalReason::WaitExpired)) == "wait-expired");
+}
--- a/tests/dispatch_settings_tests.cpp
+++ b/tests/dispatch_settings_tests.cpp
@@ -65,6 +65,7 @@
     const std::optional<DispatchSettings> defaults = parseDispatchSettings(Entry, error);
     REQUIRE(defaults);
     REQUIRE(defaults->remoteDataFactor == 1.5);
+    REQUIRE_FALSE(defaults->decidesDataLocality);
     REQUIRE_FALSE(defaults->followsEvacuations);
     REQUIRE(defaults->admission == dispatch::AdmissionPolicy::LargestFirst);
     std::string text = Entry;
@@ -73,6 +74,7 @@
     const std::optional<DispatchSettings> settings = parseDispatchSettings(text, error);
     REQUIRE(settings);
     REQUIRE(settings->remoteDataFactor == 3.0);
+    REQUIRE(settings->decidesDataLocality);
     REQUIRE(settings->followsEvacuations);
     REQUIRE(settings->admission == dispatch::AdmissionPolicy::UsualShare);
     REQUIRE(settings->queueWeights.at("q") == 2.0);
@@ -89,6 +91,7 @@
         const std::optional<DispatchSettings> settings = parseDispatchSettings(text, error);
         REQUIRE(settings);
         REQUIRE(settings->remoteDataFactor == 1.5);
+        REQUIRE_FALSE(settings->decidesDataLocality);
         REQUIRE(settings->warnings.size() == 1);
     }
 }
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -1601,3 +1601,124 @@
     group.runFor(milliseconds(1500));
     REQUIRE(group.orderedBy.size() == 1);
 }
+
+namespace
+{
+
+/// An entry with one agent on rack "r1", the one of EntryFixture, and one on rack "r2".
+struct RackFixture : EntryFixture
+{
+    explicit RackFixture(bool decides = true)
+        : deciding(rackSettings(decides), links, clients, log, now)
+    {
+        report();
+    }
+
+    static EntrySettings rackSettings(bool decides)
+    {
+        EntrySettings result = settings();
+        result.remoteDataFactor = 2.0;
+        result.decidesDataLocality = decides;
+        return result;
+    }
+
+    void report(std::vector<RunEvent> nearEvents = {})
+    {
+        for (const ProcessId &agent : {Agent, OtherAgent}) {
+            AgentReport message = makeReport();
+            message.load.labels = {agent == Agent ? "r1" : "r2"};
+            if (agent == Agent && !nearEvents.empty()) {
+                message.oldestEvent = lastEvent + 1;
+                for (RunEvent &event : nearEvents) {
+                    event.number = ++lastEvent;
+                }
+                message.events = nearEvents;
+            }
+            dispatch::Envelope envelope = envelopeFrom(agent, std::move(message));
+            envelope.fromEntry = false;
+            deciding.onMessage(now, envelope);
+        }
+    }
+
+    void submitNear(std::uint64_t client, const JobId &id, const std::string &rack = "r1")
+    {
+        std::shared_ptr<dispatch::JobSpec> spec = std::make_shared<dispatch::JobSpec>(*makeSpec(milliseconds(50)));
+        spec->steps[0].preferredRack = rack;
+        deciding.submit(now, ClientTag(client), queue, id, spec, seconds(2));
+    }
+
+    std::vector<StartOrder> near() const
+    {
+        return links.messagesTo<StartOrder>(Agent.endpoint);
+    }
+
+    std::vector<StartOrder> remote() const
+    {
+        return links.messagesTo<StartOrder>(OtherAgent.endpoint);
+    }
+
+    static constexpr ProcessId OtherAgent{Endpoint{10, 7000}, Incarnation(8)};
+
+    EntryDispatch deciding;
+};
+
+} // namespace
+
+TEST_CASE("Orders near the data of a task limit its wait, others don't")
+{
+    RackFixture fixture;
+    fixture.submitNear(1, Job1);
+    REQUIRE(fixture.near().size() == 1);
+    REQUIRE(fixture.near()[0].waitWithin > Duration(0));
+    REQUIRE(fixture.near()[0].estimate == milliseconds(50));
+    fixture.submitNear(2, StartingEntry::jobId(2), "");
+    REQUIRE((fixture.near().size() == 2 ? fixture.near() : fixture.remote()).back().waitWithin == Duration(0));
+    REQUIRE(fixture.deciding.counters().placementsNear == 1);
+    RackFixture notDeciding(false);
+    notDeciding.submitNear(1, Job1);
+    REQUIRE(notDeciding.near().at(0).waitWithin == Duration(0));
+    REQUIRE(notDeciding.deciding.counters().placementsNear == 0);
+}
+
+TEST_CASE("A task that has waited near its data until the limit is placed elsewhere, and later ones avoid the rack")
+{
+    RackFixture fixture;
+    RunEvent handedBack = EntryFixture::makeEvent(RunEvent::Kind::Ended, RunEnd::NeverStarted);
+    handedBack.reason = RefusalReason::WaitExpired;
+    fixture.submitNear(1, Job1);
+    fixture.report({handedBack});
+    REQUIRE(fixture.remote().size() == 1);
+    // Its run time there is twice that near its data.
+    REQUIRE(fixture.remote()[0].estimate == milliseconds(100));
+    REQUIRE(fixture.remote()[0].waitWithin == Duration(0));
+    REQUIRE(fixture.deciding.counters().waitsExpired == 1);
+    REQUIRE(fixture.deciding.counters().placementsRemote == 1);
+    for (std::uint64_t i = 2; i <= 6; ++i) {
+        fixture.submitNear(i, StartingEntry::jobId(i));
+        handedBack.run.task.job = StartingEntry::jobId(i);
+        fixture.report({handedBack});
+    }
+    const std::size_t ordersNear = fixture.near().size();
+    fixture.submitNear(9, StartingEntry::jobId(9));
+    REQUIRE(fixture.near().size() == ordersNear);
+    REQUIRE(fixture.remote().back().job == StartingEntry::jobId(9));
+}
+
+TEST_CASE("A run away from its data does not make its server count as slow")
+{
+    RackFixture fixture;
+    fixture.submitNear(1, Job1, "r3");
+    const bool onOther = !fixture.remote().empty();
+    RunEvent done = EntryFixture::makeEvent(RunEvent::Kind::Ended);
+    done.ran = milliseconds(100);
+    done.number = 1;
+    AgentReport report = fixture.makeReport();
+    report.oldestEvent = 1;
+    report.events = {done};
+    const ProcessId agent = onOther ? RackFixture::OtherAgent : Agent;
+    dispatch::Envelope envelope = fixture.envelopeFrom(agent, std::move(report));
+    envelope.fromEntry = false;
+    fixture.deciding.onMessage(fixture.now, envelope);
+    REQUIRE(fixture.clients.answers.at(1) == JobOutcome::Succeeded);
+    REQUIRE(fixture.deciding.fleet().agents().at(agent.endpoint).health.slowness(fixture.now) == Approx(1.0));
+}
--- a/tests/placement_tests.cpp
+++ b/tests/placement_tests.cpp
@@ -200,3 +200,38 @@
     isolated.isolation = Isolation::Outside;
     REQUIRE(addresses(EarliestFinish().place(fleet, isolated, now())).count(4) == 6);
 }
+
+TEST_CASE("A task with data on a rack takes the configured multiple of its run time elsewhere")
+{
+    FleetView fleet = makeFleet(4);
+    PlacementRequest request = ::request(1);
+    request.preferredRack = "none";
+    request.remoteDataFactor = 3.0;
+    REQUIRE(EarliestFinish().place(fleet, request, now()).at(0).finish == milliseconds(300));
+    REQUIRE(EarliestFinish().place(fleet, request, now()).at(0).remoteData);
+}
+
+TEST_CASE("A task with data on a rack gets a limit for its wait there, and runs elsewhere once waits there fail")
+{
+    // Agents 1 and 2 are on rack "a".
+    FleetView fleet = makeFleet(4);
+    DataLocality locality;
+    PlacementRequest request = ::request(1);
+    request.preferredRack = "a";
+    request.remoteDataFactor = 2.0;
+    request.timeToObjective = seconds(1);
+    request.locality = &locality;
+    const Placement near = EarliestFinish().place(fleet, request, now()).at(0);
+    REQUIRE(near.agent->hasLabel("a"));
+    REQUIRE_FALSE(near.remoteData);
+    REQUIRE(near.waitWithin > milliseconds(50));
+    REQUIRE(near.waitWithin <= milliseconds(100));
+    for (int i = 0; i < 20; ++i) {
+        locality.recordExpired(now(), "a");
+    }
+    const Placement remote = EarliestFinish().place(fleet, request, now()).at(0);
+    REQUIRE(remote.remoteData);
+    REQUIRE(remote.waitWithin == Duration(0));
+    request.preferredRack.clear();
+    REQUIRE(EarliestFinish().place(fleet, request, now()).at(0).waitWithin == Duration(0));
+}
