--- a/src/core/dispatch/entry_runs.cpp
+++ b/src/core/dispatch/entry_runs.cpp
@@ -51,10 +51,13 @@
     request.timeToObjective = job.objectiveDeadline - now - NetworkTime;
     request.requiredLabel = spec.requiredLabel;
     request.preferredRack = spec.preferredRack;
+    request.remoteDataFactor = m_settings.remoteDataFactor;
+    request.locality = m_settings.decidesDataLocality ? &m_locality : nullptr;
     request.maxPerServer = spec.maxPerServer;
     for (const std::uint32_t i : waiting) {
         const std::vector<Endpoint> &avoid = step.tasks[i].avoid;
         request.avoid.insert(request.avoid.end(), avoid.begin(), avoid.end());
+        request.handedBack = request.handedBack || step.tasks[i].handedBack;
     }
     for (const TaskState &task : step.tasks) {
         if (task.isOutstanding() || task.phase == TaskState::Phase::Done) {
@@ -127,6 +130,7 @@
 void EntryDispatch::assignTasks(TimePoint now, Job &job, std::uint32_t stepIndex, const std::vector<std::uint32_t> &tasks,
                                 const std::vector<Placement> &places)
 {
+    recordLocality(now, job, stepIndex, tasks, places);
     std::map<Endpoint, std::vector<OrderedRun>> byAgent;
     for (std::size_t i = 0; i < tasks.size(); ++i) {
         TaskState &task = job.steps[stepIndex].tasks[tasks[i]];
@@ -162,8 +166,12 @@
     start.step = stepIndex;
     start.need = job.spec->steps[stepIndex].need;
     start.urgency = job.queue->urgency;
-    start.estimate = scaled(job.steps[stepIndex].expectedRun, agent.health.slowness(now));
-    start.baseline = scaled(job.steps[stepIndex].expectedRun, dataFactor(job, job.steps[stepIndex], agent));
+    // The tasks of an order are on one server and were placed together.
+    const StepState &step = job.steps[stepIndex];
+    const TaskState &task = step.tasks[runs.front().index];
+    start.baseline = scaled(step.expectedRun, dataFactor(job, step, agent));
+    start.estimate = scaled(start.baseline, agent.health.slowness(now));
+    start.waitWithin = task.waitUntil == TimePoint() ? Duration(0) : std::max(task.waitUntil - now, Duration(1));
     start.inTimeWithin = std::max(job.objectiveDeadline - now - start.estimate - NetworkTime, Duration(0));
     start.startWithin = std::max(job.clientDeadline - now - start.estimate, Duration(0));
     start.payload = job.payload;
@@ -196,6 +204,7 @@
         }
         break;
     case RunEvent::Kind::Started:
+        recordWait(now, job, event.run.task, task, true);
         job.started = true;
         task.phase = TaskState::Phase::Running;
         task.startedAt = now;
@@ -264,6 +273,9 @@
     case RunEnd::NeverStarted:
         ++m_counters.runsHandedBack;
         task.avoid.push_back(agent.endpoint);
+        if (event.reason == RefusalReason::WaitExpired) {
+            recordWait(now, job, event.run.task, task, false);
+        }
         if (event.reason == RefusalReason::RunNumberUsed) {
             task.run = RunNumber(task.run.value() + RunNumberSkip);
             task.avoid.pop_back();
--- a/src/core/dispatch/job.h
+++ b/src/core/dispatch/job.h
@@ -32,6 +32,9 @@
     std::vector<Endpoint> avoid; ///< Agents on which a run of it did not complete.
     /// Longest time that a stopped run had lasted, on a server of ordinary speed.
     Duration reachedAge{0};
+    bool nearData = false; ///< Sent to a server near its data by DataLocality.
+    bool handedBack = false; ///< A run of it has waited near its data until the limit.
+    TimePoint waitUntil; ///< See StartOrder::waitWithin; zero for no limit.
 
     /// Whether an agent may have a run of the task.
     bool isOutstanding() const noexcept
