The store's list of agents leaves out those that have been silent for 3 s

Change: EntryTiming::listedAgentTimeout. After 3 s of silence an agent has no run of the entry that lists it. Measured: entry_dispatch_tests pass with a new case.

--- a/src/core/dispatch/entry_admission.cpp
+++ b/src/core/dispatch/entry_admission.cpp
@@ -116,8 +116,11 @@
 {
     std::vector<Endpoint> agents;
     agents.reserve(m_fleet.agents().size());
-    std::transform(m_fleet.agents().begin(), m_fleet.agents().end(), std::back_inserter(agents),
-                   [](const FleetView::Agents::value_type &agent) { return agent.first; });
+    for (const FleetView::Agents::value_type &agent : m_fleet.agents()) {
+        if (agent.second.session.silence(now) < m_settings.timing.listedAgentTimeout) {
+            agents.push_back(agent.first);
+        }
+    }
     return m_agentList.due(now, std::move(agents));
 }
 
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -41,6 +41,9 @@
     /// can't complete.
     Duration agentTimeout = milliseconds(700);
     Duration peerExpiry = seconds(10); ///< The state of a peer that is silent for longer is removed.
+    /// An agent that is silent for longer is not on the list in the store. By then it has no run of this entry: it has stopped
+    /// them, or its server's lease has expired, unless it still hears this entry, whose stops it then gets.
+    Duration listedAgentTimeout = seconds(3);
     CoordinationTiming coordination;
     /// How long the outcome of a job is kept: a client may resubmit seconds after its answer, and agents deliver delayed run
     /// events once they are reachable again.
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -1069,6 +1069,27 @@
     REQUIRE_FALSE(restarted.mayAdmit(fixture.now));
 }
 
+TEST_CASE("The list of agents in the store leaves out agents that have been silent for long enough to have no runs")
+{
+    // Guards against a fleet that waits after a restart for agents that had left well before it.
+    EntryFixture fixture;
+    EntryDispatch entry(EntryFixture::settings(), fixture.links, fixture.clients, fixture.log, fixture.now);
+    const Endpoint leaving{44, 7000};
+    entry.addListedAgents(fixture.now, {Agent.endpoint, leaving});
+    std::vector<Endpoint> written;
+    const auto runFor = [&](Duration length) {
+        for (const TimePoint end = fixture.now + length; fixture.now < end;) {
+            fixture.now += milliseconds(100);
+            entry.onMessage(fixture.now, fixture.envelopeFrom(Agent, fixture.makeReport()));
+            written = entry.agentListDue(fixture.now).value_or(written);
+        }
+    };
+    runFor(milliseconds(2900));
+    REQUIRE(written == std::vector<Endpoint>{Agent.endpoint, leaving});
+    runFor(milliseconds(800));
+    REQUIRE(written == std::vector<Endpoint>{Agent.endpoint});
+}
+
 TEST_CASE("The reports of all agents replace the uptime of an entry that has just started")
 {
     EntryFixture fixture;
