Requests that arrive before the first configuration wait for it

Change: RequestHold keeps such requests for up to 300 ms, at most 512 of them and 4 MB. Their limits count from their arrival, and those whose clients have disconnected are dropped.

--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -189,15 +189,15 @@
 }
 
 void EntryDispatch::submit(TimePoint now, ClientTag client, const std::shared_ptr<const QueueRule> &queue, const JobId &id,
-                           const std::shared_ptr<const JobSpec> &spec, Duration clientTimeout)
+                           const std::shared_ptr<const JobSpec> &spec, Duration clientTimeout, TimePoint requestedAt)
 {
     detectPause(now);
     ++m_counters.submitted;
     if (clientTimeout <= Duration(0)) {
         clientTimeout = m_settings.defaultDeadline;
     }
-    const TimePoint deadline = std::min(now + clientTimeout - m_settings.timing.answerMargin, m_shutdownDeadline);
-    submitUntil(now, WaitingClient{client, deadline, now, queue, spec}, id);
+    const TimePoint deadline = std::min(requestedAt + clientTimeout - m_settings.timing.answerMargin, m_shutdownDeadline);
+    submitUntil(now, WaitingClient{client, deadline, requestedAt, queue, spec}, id);
 }
 
 void EntryDispatch::submitUntil(TimePoint now, const WaitingClient &waiting, const JobId &id, const HeldJob *held)
--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -164,9 +164,15 @@
     void onTick(TimePoint now);
 
     /// Submits or resubmits a job. The client gets exactly one ClientPort::answer() unless onClientDisconnected() is called
-    /// first. `clientTimeout` is how long the client waits; zero if unspecified.
+    /// first. `clientTimeout` is how long the client waits from `requestedAt` on, when its request arrived; zero if unspecified.
     void submit(TimePoint now, ClientTag client, const std::shared_ptr<const QueueRule> &queue, const JobId &id,
-                const std::shared_ptr<const JobSpec> &spec, Duration clientTimeout);
+                const std::shared_ptr<const JobSpec> &spec, Duration clientTimeout, TimePoint requestedAt);
+    /// The same for a request that has just arrived.
+    void submit(TimePoint now, ClientTag client, const std::shared_ptr<const QueueRule> &queue, const JobId &id,
+                const std::shared_ptr<const JobSpec> &spec, Duration clientTimeout)
+    {
+        submit(now, client, queue, id, spec, clientTimeout, now);
+    }
     void onClientDisconnected(TimePoint now, ClientTag client);
 
     /// Counts and logs a submission that was read from a connection that its client had closed or reset before.
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -43,7 +43,7 @@
     m_gateway.setDispatch(*m_dispatch);
     m_clientServer = std::make_unique<HttpServer>(m_context, settings.clientsListen, httpLimits(),
                                                   [this](HttpRequest &&request, const std::shared_ptr<HttpExchange> &exchange) {
-                                                      m_gateway.handle(std::move(request), exchange);
+                                                      receiveRequest(std::move(request), exchange);
                                                   });
     m_readyServer = std::make_unique<HttpServer>(m_context, settings.readyListen, httpLimits(),
                                                  [this](HttpRequest &&, const std::shared_ptr<HttpExchange> &exchange) {
@@ -75,6 +75,15 @@
     m_store->registerEntry(settings.node, m_self.endpoint);
 }
 
+void EntryProcess::receiveRequest(HttpRequest &&request, const std::shared_ptr<HttpExchange> &exchange)
+{
+    if (!m_gateway.configured() && !request.connectionEnded && m_unconfigured.hasRoom(request.body.size())) {
+        m_unconfigured.add(now(), std::move(request), exchange);
+        return;
+    }
+    m_gateway.handle(std::move(request), exchange, now());
+}
+
 bool EntryProcess::isReady(TimePoint time) const
 {
     return m_shutdownRequestedAt == TimePoint() && m_gateway.configured() && m_dispatch->usableAgents(time) > 0
@@ -103,11 +112,17 @@
     m_log.write(LogLevel::Info, "config-adopted",
                 "version=" + std::to_string(config->version) + " source=" + source
                     + " queues=" + std::to_string(config->queues.size()));
+    m_unconfigured.releaseAll([this](HttpRequest &&request, const std::shared_ptr<HttpExchange> &exchange, TimePoint arrivedAt) {
+        m_gateway.handle(std::move(request), exchange, arrivedAt);
+    });
 }
 
 void EntryProcess::onTick(TimePoint time, Duration lag)
 {
     m_dispatch->cpuOverloadDetector().recordTick(time, lag);
+    m_unconfigured.releaseExpired(time,
+                                  [this](HttpRequest &&request, const std::shared_ptr<HttpExchange> &exchange,
+                                         TimePoint arrivedAt) { m_gateway.handle(std::move(request), exchange, arrivedAt); });
     m_dispatch->onTick(time);
     if (const std::optional<std::vector<Endpoint>> agents = m_dispatch->agentListDue(time)) {
         m_store->writeAgentList(*agents);
--- a/src/daemon/entry_process.h
+++ b/src/daemon/entry_process.h
@@ -3,6 +3,7 @@
 
 #include "core/dispatch/entry_dispatch.h"
 #include "daemon/dispatch_process.h"
+#include "daemon/request_hold.h"
 #include "platform/client_gateway.h"
 #include "platform/store_client.h"
 
@@ -27,10 +28,13 @@
 
     /// Applies a configuration document that is newer than the current one. `source` goes to the log: "store" or "peer".
     void applyConfig(const std::string &document, const char *source);
+    /// Handles a client's request, or holds it until the first configuration is known.
+    void receiveRequest(HttpRequest &&request, const std::shared_ptr<HttpExchange> &exchange);
     /// Whether the load balancer should route new connections to this entry.
     bool isReady(TimePoint now) const;
 
     platform::ClientGateway m_gateway;
+    RequestHold m_unconfigured; ///< Requests that arrived before the first configuration.
     std::unique_ptr<dispatch::EntryDispatch> m_dispatch;
     bool m_lastTurnTaken = false; ///< The process exits with the next tick.
     std::unique_ptr<platform::StoreClient> m_store;
--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -79,7 +79,7 @@
         request.connectionEnded = connectionEnded;
         request.headers.emplace_back("Host", "a.example:80");
         const std::shared_ptr<RecordingExchange> exchange = std::make_shared<RecordingExchange>();
-        gateway.handle(std::move(request), exchange);
+        gateway.handle(std::move(request), exchange, TimePoint(seconds(100)));
         lastExchange = exchange;
         return exchange->responses.empty() ? 0 : exchange->responses.front().status;
     }
