--- a/tests/agent_dispatch_tests.cpp
+++ b/tests/agent_dispatch_tests.cpp
@@ -1137,3 +1137,26 @@
     fixture.tickFor(milliseconds(300));
     REQUIRE(fixture.reportsAccepting());
 }
+
+TEST_CASE("An agent reports the run times of all runs relative to those on an ordinary server")
+{
+    AgentFixture fixture;
+    fixture.tickFor(milliseconds(300));
+    std::uint64_t ended = 0;
+    for (int job = 0; job < 30; ++job) {
+        const std::string id = std::to_string(1'000'000'000'000'000ULL + static_cast<std::uint64_t>(job));
+        StartOrder order = fixture.makeOrder(id.c_str(), milliseconds(60), milliseconds(90), 1);
+        order.baseline = milliseconds(50);
+        fixture.receiveFromEntry(std::move(order));
+        const dispatch::RunRef run = fixture.server.starts.back().run;
+        fixture.agent.onStartAnswered(fixture.now, run, StartAnswer::Accepted);
+        fixture.tickFor(milliseconds(75));
+        fixture.receiveFromEntry(EntryReport());
+        fixture.answerPoll(1, {}, {FinishedRun{++ended, run, RunEnd::Done}});
+        fixture.answerPoll(1);
+        fixture.announce(Resources{12000, 1000, 0});
+    }
+    fixture.tickFor(milliseconds(300));
+    CHECK(fixture.lastReport().load.slowness == Approx(1.5).epsilon(0.06));
+    CHECK(fixture.lastReport().load.slownessWeight > 20);
+}
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -1,4 +1,5 @@
 #include "core/dispatch/entry_dispatch.h"
+#include "core/dispatch/format.h"
 
 #include <catch2/catch.hpp>
 
@@ -124,6 +125,7 @@
         report.load.accepting = true;
         report.load.capacity = Resources{16000, 64000, 0};
         report.load.free = Resources{16000, 64000, 0};
+        report.ordersSeen = ordersSeen;
         return report;
     }
 
@@ -179,6 +181,7 @@
     EntryReport otherReport;
     std::vector<CancelOutcome> cancelOutcomes;
     std::uint64_t lastEvent = 0;
+    std::uint64_t ordersSeen = 0; ///< The orders up to this number count in the load that the agent reports.
     Duration messageDelay{0}; ///< Time until a message of the entry is echoed.
     EntryDispatch entry;
 };
@@ -1261,3 +1264,103 @@
     REQUIRE(fixture.links.messagesTo<StartOrder>(Agent.endpoint).size() == 1);
     REQUIRE(fixture.entry.unanswered() == 0);
 }
+
+namespace
+{
+
+JobId numberedJob(std::uint64_t n)
+{
+    return *JobId::parse(std::to_string(1'000'000'000'000'000ULL + n));
+}
+
+RunEvent eventOf(const JobId &job, RunEvent::Kind kind, Duration ran = Duration(0))
+{
+    RunEvent event = EntryFixture::makeEvent(kind);
+    event.run.task.job = job;
+    event.ran = ran;
+    return event;
+}
+
+/// Runs jobs of 100 ms, of which every thirtieth takes seven times as long if `withLongJobs`.
+void runJobs(EntryFixture &fixture, bool withLongJobs)
+{
+    fixture.ordersSeen = 1000;
+    for (std::uint64_t n = 1; n <= 70; ++n) {
+        const JobId job = numberedJob(n);
+        fixture.entry.submit(fixture.now, ClientTag(n), fixture.queue, job, EntryFixture::makeSpec(milliseconds(100)),
+                             seconds(4));
+        fixture.receiveReport({eventOf(job, RunEvent::Kind::Started)});
+        const Duration ran = milliseconds(withLongJobs && n % 30 == 0 ? 700 : 100);
+        fixture.runFor(milliseconds(30));
+        fixture.receiveReport({eventOf(job, RunEvent::Kind::Ended, ran)});
+    }
+}
+
+} // namespace
+
+TEST_CASE("A task of a long job is not restarted, in a queue that has such jobs")
+{
+    // Scenario: the run of one job takes six times its expected time while the server shows no other sign of being slow. A
+    // restart would discard its work, and last as long elsewhere.
+    for (const bool withLongJobs : {true, false}) {
+        EntryFixture fixture;
+        runJobs(fixture, withLongJobs);
+        const std::uint64_t restartedBefore = fixture.entry.counters().runsRestarted;
+        fixture.submit(1000, seconds(4), milliseconds(100));
+        fixture.receiveReport({EntryFixture::makeEvent(RunEvent::Kind::Started)});
+        fixture.runFor(milliseconds(600));
+        INFO("with long jobs " << withLongJobs);
+        CHECK(fixture.entry.counters().runsRestarted - restartedBefore == (withLongJobs ? 0 : 1));
+        const AgentView &agent = fixture.entry.fleet().agents().at(Agent.endpoint);
+        if (withLongJobs) {
+            CHECK_FALSE(agent.health.suspect(fixture.now));
+            CHECK(agent.health.slowness(fixture.now) < 1.2);
+        }
+    }
+}
+
+TEST_CASE("Runs are moved away from a server that stands still, also in a queue that has long jobs")
+{
+    EntryFixture fixture;
+    runJobs(fixture, true);
+    const std::uint64_t restartedBefore = fixture.entry.counters().runsRestarted;
+    const std::uint64_t discardedBefore = fixture.entry.counters().discardedMilliCoreMs;
+    fixture.submit(1000, seconds(4), milliseconds(100));
+    fixture.receiveReport({EntryFixture::makeEvent(RunEvent::Kind::Started)});
+    fixture.runFor(milliseconds(195));
+    AgentReport report = fixture.makeReport();
+    report.load.suspect = true;
+    fixture.entry.onMessage(fixture.now, fixture.envelopeFrom(Agent, std::move(report)));
+    fixture.entry.onTick(fixture.now);
+    REQUIRE(fixture.entry.counters().runsRestarted == restartedBefore + 1);
+    REQUIRE(fixture.links.messagesTo<StopOrder>(Agent.endpoint).size() == 1);
+    RunEvent stopped = EntryFixture::makeEvent(RunEvent::Kind::Ended, RunEnd::Stopped);
+    stopped.ran = milliseconds(200);
+    fixture.receiveReport({stopped});
+    REQUIRE(fixture.entry.counters().discardedMilliCoreMs - discardedBefore == 200 * 1000);
+}
+
+TEST_CASE("Orders carry the run time on an ordinary server, and an entry that has just started uses the reported speed")
+{
+    EntryFixture fixture;
+    AgentReport slow = fixture.makeReport();
+    slow.load.slowness = 2.0;
+    slow.load.slownessWeight = 50;
+    AgentReport fast = slow;
+    fast.load.slowness = 0.5;
+    fast.load.capacity = fast.load.free = Resources{500, 64000, 0};
+    const ProcessId other{Endpoint{10, 7000}, Incarnation(8)};
+    fixture.entry.onMessage(fixture.now, fixture.envelopeFrom(Agent, AgentReport(slow)));
+    dispatch::Envelope envelope = fixture.envelopeFrom(other, AgentReport(fast));
+    envelope.fromEntry = false;
+    fixture.entry.onMessage(fixture.now, envelope);
+    fixture.entry.onTick(fixture.now + milliseconds(50));
+    // The mean of the fleet, with equal weight for each server, is the reference: 2.0 and 0.5 are relative to it.
+    CHECK(fixture.entry.fleet().agents().at(Agent.endpoint).health.slowness(fixture.now) == Approx(2.0).epsilon(0.02));
+    CHECK(fixture.entry.fleet().agents().at(other.endpoint).health.slowness(fixture.now) == Approx(0.5).epsilon(0.02));
+    fixture.submit(1, seconds(4), milliseconds(100));
+    const std::vector<StartOrder> orders = fixture.links.messagesTo<StartOrder>(Agent.endpoint);
+    REQUIRE(orders.size() == 1);
+    CHECK(orders[0].baseline == milliseconds(100));
+    CHECK(ratio(orders[0].estimate, orders[0].baseline) == Approx(2.0).epsilon(0.02));
+}
