The evidence on a run is gathered only once it is late

Cause: every running task of every job was compared with the distribution of its queue at each tick of 15 ms, and entries have a tenth of a core.

Change: tasks within their expected time on servers that are not known to be slow are skipped, as before.

--- a/src/core/dispatch/entry_supervision.cpp
+++ b/src/core/dispatch/entry_supervision.cpp
@@ -120,12 +120,22 @@
 void EntryDispatch::restartStragglers(TimePoint now, Job &job, std::uint32_t stepIndex)
 {
     StepState &step = job.steps[stepIndex];
-    const std::map<Endpoint, Duration> longest = longestAges(now, step);
+    std::map<Endpoint, Duration> longest;
     for (std::uint32_t k = 0; k < step.tasks.size(); ++k) {
         TaskState &task = step.tasks[k];
         if (task.phase != TaskState::Phase::Running || task.stopSent) {
             continue;
         }
+        // Entries have a tenth of a core. Most runs are not late, and their evidence is not needed.
+        const AgentView *agent = m_fleet.find(task.agent);
+        const bool late =
+            now - task.startedAt > (step.done > 0 ? std::min(step.expectedRun, step.longestRunTime) : step.expectedRun);
+        if (!late && (agent == nullptr || agent->health.measuredSlowness(now) < SlowServerFactor)) {
+            continue;
+        }
+        if (longest.empty()) {
+            longest = longestAges(now, step);
+        }
         RunEvidence evidence = evidenceFor(now, job, step, task.agent, task.startedAt, longest);
         evidence.ageElsewhere = std::max(evidence.ageElsewhere, task.reachedAge);
         const RestartDecision decision = decideRestart(evidence, distributionOf(job));
@@ -210,7 +220,7 @@
         }
         const Duration age = scaled(item.second, 1.0 / dataFactor(job, step, *agent)); // As if near the data.
         const double elapsedRatio = ratio(age, reference);
-        if (distribution.known()) {
+        if (distribution.known() && age > step.expectedRun) {
             const double probability =
                 distribution.probabilityLonger(ratio(age, step.expectedRun) / agent->health.measuredSlowness(now));
             m_overdueLogProbability[item.first] += probability < OverdueProbability ? std::log(probability) : 0.0;
