Admission log: fields are computed only for lines that are written

Cause: while admission was closed, each tick formatted the fields of a line. Change: they are formatted when a line is due; a closing that is too short to be logged is not followed by another admission-open.

--- a/src/core/dispatch/entry_admission.cpp
+++ b/src/core/dispatch/entry_admission.cpp
@@ -71,24 +71,28 @@
         return;
     }
     const AdmissionState state = admissionState(now);
+    const bool closedLogDue = !state.open && now - m_admissionLog.closedLoggedAt >= ClosedLogInterval;
+    if ((!state.open || m_admissionLog.open) && !closedLogDue) {
+        return;
+    }
+    m_admissionLog.open = state.open;
     const std::string fields = " up_ms=" + ms(now - m_startedAt) + " agents=" + std::to_string(m_evidence.expectedAgents())
         + " agents_reported=" + std::to_string(m_evidence.reportedAgents(now));
-    if (state.open && !m_admissionLog.open) {
+    if (state.open) {
         constexpr const char *Names[] = {"lists", "agents", "time"};
         m_admissionLog.evidenceAgents = state.evidence == AdmissionEvidence::Agents ? m_evidence.reportedAgents(now) : 0;
         m_log.write(LogLevel::Info, "admission-open",
                     std::string("evidence=") + Names[static_cast<std::size_t>(state.evidence)] + fields);
-    } else if (!state.open && (m_admissionLog.open || now - m_admissionLog.closedLoggedAt >= ClosedLogInterval)) {
-        m_admissionLog.closedLoggedAt = now;
-        std::string missing = m_evidence.isFleetKnown() ? "" : " fleet=unknown";
-        if (const FleetEvidence::Missing agent = m_evidence.firstMissing(now); agent.agent != nullptr) {
-            missing += std::string(agent.examining ? " agent_examining=" : " agent_silent=") + toString(*agent.agent);
-        }
-        m_log.write(LogLevel::Info, "admission-closed",
-                    std::string("reason=") + state.reason + (state.entry == nullptr ? "" : " entry=" + toString(*state.entry))
-                        + fields + missing);
+        return;
     }
-    m_admissionLog.open = state.open;
+    m_admissionLog.closedLoggedAt = now;
+    std::string missing = m_evidence.isFleetKnown() ? "" : " fleet=unknown";
+    if (const FleetEvidence::Missing agent = m_evidence.firstMissing(now); agent.agent != nullptr) {
+        missing += std::string(agent.examining ? " agent_examining=" : " agent_silent=") + toString(*agent.agent);
+    }
+    m_log.write(LogLevel::Info, "admission-closed",
+                std::string("reason=") + state.reason + (state.entry == nullptr ? "" : " entry=" + toString(*state.entry))
+                    + fields + missing);
 }
 
 void EntryDispatch::recordAgentEvidence(TimePoint now, const Envelope &envelope, const AgentReport &report)
