Tasks stay near their data while the fleet is full; held jobs are served for the client that waits longest

A held job was released with the deadline of its first client, and refused if that had passed.

A server near the data that fails runs or is on probation is not used for its data. Held jobs are released with the latest deadline of their clients.

--- a/src/core/dispatch/data_locality.cpp
+++ b/src/core/dispatch/data_locality.cpp
@@ -15,6 +15,9 @@
 constexpr double PriorOutcomes = 2.0;
 /// Utilisation from which the capacity that remote runs use is taken from other tasks.
 constexpr double BusyUtilisation = 0.7;
+/// Utilisation from which no task with a server near its data runs elsewhere: remote runs would keep the fleet full, and the jobs
+/// that they displace are more than those that they serve.
+constexpr double FullUtilisation = 0.85;
 /// A handed back task costs a message to the entry, its tick and an order.
 constexpr Duration HandBackTime = milliseconds(10);
 /// Tasks of a step differ by a sixth in their run times, and the last one ends the job.
@@ -22,6 +25,8 @@
 /// Entries expect too short waits while their views are older than the queue that other entries have just built.
 constexpr double WaitMargin = 2.0;
 constexpr double MaxFailedShare = 0.5;
+/// A server that fails runs or is on probation costs more than this.
+constexpr Duration MaxOverheadDifference = milliseconds(100);
 /// Agents check the limit every 15 ms.
 constexpr Duration MinWaitWithin = milliseconds(15);
 /// Bounds the memory: clients name the racks.
@@ -47,16 +52,22 @@
     }
     const Option &near = *request.near;
     const Option &remote = *request.remote;
+    if (near.overhead > remote.overhead + MaxOverheadDifference) {
+        return Choice{false, remote.wait, Duration(0)};
+    }
     const double failed = request.handedBack && near.wait > Duration(0) ? 1.0 : failedShare(now, request.rack);
     const Duration nearWait = scaledBy(near.wait, WaitMargin);
     const bool nearInTime = nearWait + near.run <= request.timeToObjective;
     const bool remoteInTime = remote.wait + remote.run <= request.timeToObjective;
-    if (!remoteInTime) {
+    const bool mayRunElsewhere = remoteInTime && request.utilisation <= FullUtilisation;
+    if (!mayRunElsewhere) {
         // Handing a task back would not help one that can't be in time elsewhere. While most waits fail, it can't be in time near
         // its data either, unless a server is free.
         const bool hopeless = near.wait > Duration(0) && failed > MaxFailedShare;
         const bool earlierNear = near.total() <= remote.total();
-        return Choice{nearInTime || earlierNear, hopeless ? std::max(nearWait, request.timeToObjective) : nearWait, Duration(0)};
+        const bool full = remoteInTime;
+        return Choice{nearInTime || earlierNear || full, hopeless ? std::max(nearWait, request.timeToObjective) : nearWait,
+                      Duration(0)};
     }
     if (!nearInTime) {
         return Choice{false, remote.wait, Duration(0)};
--- a/src/core/dispatch/entry_held_jobs.cpp
+++ b/src/core/dispatch/entry_held_jobs.cpp
@@ -100,7 +100,11 @@
     for (const WaitingClient &client : clients) {
         m_clientJobs.erase(client.tag);
     }
-    const WaitingClient &first = clients.front();
+    // The job goes on for the client that waits longest, as if the others had joined it after its admission.
+    WaitingClient &first = clients.front();
+    for (const WaitingClient &client : clients) {
+        first.deadline = std::max(first.deadline, client.deadline);
+    }
     // Another entry that this one has not reached since may have admitted the job, so it is not known whether it has run.
     if (unconfirmedBy(now, first.requestedAt, held.heldSince) != nullptr) {
         ++m_heldRelease.refused;
--- a/tests/data_locality_tests.cpp
+++ b/tests/data_locality_tests.cpp
@@ -46,6 +46,27 @@
     REQUIRE(choice.waitWithin == milliseconds(134));
 }
 
+TEST_CASE("While the fleet is full, a task near whose data a server is usable does not run elsewhere")
+{
+    // Each remote run displaces as much other work as its additional run time.
+    DataLocality locality;
+    DataLocality::Request request = makeRequest(milliseconds(400), 1.5, milliseconds(700));
+    REQUIRE_FALSE(locality.choose(Now, request).near);
+    request.utilisation = 0.9;
+    const DataLocality::Choice choice = locality.choose(Now, request);
+    REQUIRE(choice.near);
+    REQUIRE(choice.waitWithin == Duration(0));
+    REQUIRE(choice.wait == milliseconds(800));
+}
+
+TEST_CASE("A task does not run near its data on a server that fails runs or is on probation")
+{
+    DataLocality locality;
+    DataLocality::Request request = makeRequest(milliseconds(0), 3.0, milliseconds(150));
+    request.near->overhead = milliseconds(300);
+    REQUIRE_FALSE(locality.choose(Now, request).near);
+}
+
 TEST_CASE("A task is handed back while it can still be in time elsewhere")
 {
     DataLocality locality;
@@ -142,6 +163,8 @@
     std::uint32_t tasks;
     Duration run;
     double jobsPerSecond;
+    /// Jobs of another queue, of two tasks of 200 ms, whose data is everywhere.
+    double backgroundJobsPerSecond = 0;
 };
 
 /// Replays a hot rack: 61 servers of 64 cores, and 10 entries whose views of them are up to 150 ms old. Tasks take 5.8 cores; the
@@ -180,6 +203,10 @@
                 }
             }
             m_due += m_now < end - seconds(1) ? m_queue.jobsPerSecond * static_cast<double>(Step.count()) / 1e6 : 0.0;
+            m_backgroundDue += m_queue.backgroundJobsPerSecond * static_cast<double>(Step.count()) / 1e6;
+            for (; m_backgroundDue >= 1.0; m_backgroundDue -= 1.0) {
+                submitBackground();
+            }
             for (; m_due >= 1.0; m_due -= 1.0) {
                 submit(m_now >= hotFrom && m_now < hotFrom + seconds(5));
             }
@@ -188,6 +215,7 @@
 
     std::uint32_t submitted = 0;
     std::uint32_t inTime = 0;
+    std::uint32_t backgroundInTime = 0;
     double coreSeconds = 0;
 
 private:
@@ -202,6 +230,8 @@
         std::uint32_t entry = 0;
         std::string rack;
         TimePoint objective;
+        bool background = false;
+        Duration run{0};
         std::uint32_t open = 0;
         std::vector<Endpoint> avoid;
         bool handedBack = false;
@@ -294,7 +324,7 @@
             server.queued.erase(server.queued.begin());
             task.ends = m_now + task.run;
             coreSeconds += static_cast<double>(TaskCpu) * static_cast<double>(task.run.count()) / 1e9;
-            if (task.near) {
+            if (task.near && !task.job->background) {
                 DataLocality &locality = m_entries[task.job->entry].locality;
                 task.inTimeBy < m_now ? locality.recordExpired(m_now, task.job->rack)
                                       : locality.recordStarted(m_now, task.job->rack);
@@ -305,7 +335,9 @@
              [&](const Task &task) { return task.waitUntil != TimePoint() && task.waitUntil < m_now; });
         for (const Task &task : ended) {
             if (--task.job->open == 0 && !task.job->refused) {
-                inTime += m_now <= task.job->objective ? 1 : 0;
+                const bool counts = m_now <= task.job->objective;
+                inTime += counts && !task.job->background ? 1 : 0;
+                backgroundInTime += counts && task.job->background ? 1 : 0;
             }
         }
         for (const Task &task : handedBack) {
@@ -316,6 +348,17 @@
         }
     }
 
+    void submitBackground()
+    {
+        const std::shared_ptr<Job> job = std::make_shared<Job>();
+        job->entry = static_cast<std::uint32_t>(m_random() % Entries);
+        job->background = true;
+        job->open = 2;
+        job->run = milliseconds(200);
+        job->objective = m_now + job->run * 16 / 10 + milliseconds(60);
+        place(job, job->open, false);
+    }
+
     void submit(bool hot)
     {
         const std::uint32_t racks = Servers / m_rackServers;
@@ -324,6 +367,7 @@
         job->entry = static_cast<std::uint32_t>(m_random() % Entries);
         job->rack = "r" + std::to_string(hot && m_random() % 100 < 53 ? 0 : chosen);
         job->open = m_queue.tasks;
+        job->run = m_queue.run;
         job->objective = m_now + m_queue.run * 16 / 10 + milliseconds(60);
         ++submitted;
         place(job, m_queue.tasks, false);
@@ -336,7 +380,7 @@
         request.service = "svc";
         request.domain = "d";
         request.need = Resources{TaskCpu, 10, 0};
-        request.expectedRun = m_queue.run;
+        request.expectedRun = job->run;
         request.timeToObjective = job->objective - m_now - milliseconds(6);
         request.preferredRack = job->rack;
         request.remoteDataFactor = m_factor;
@@ -347,12 +391,12 @@
         if (m_policy == Policy::Decide) {
             request.locality = &entry.locality;
         }
-        if (m_policy != Policy::Decide) {
+        if (m_policy != Policy::Decide && !job->background) {
             request.requiredLabel = job->rack;
         }
         std::vector<Placement> places = EarliestFinish().place(entry.fleet, request, m_now);
         const bool waits = std::any_of(places.begin(), places.end(), [](const Placement &p) { return p.wait > Duration(0); });
-        if (m_policy == Policy::DontWait && (waits || places.empty())) {
+        if (m_policy == Policy::DontWait && !job->background && (waits || places.empty())) {
             request.requiredLabel.clear();
             request.preferredRack = "none";
             places = EarliestFinish().place(entry.fleet, request, m_now);
@@ -367,10 +411,10 @@
             const std::uint32_t server = place.agent->endpoint.ip - 1;
             Task task;
             task.job = job;
-            task.near = rackOf(server) == job->rack;
+            task.near = job->background || rackOf(server) == job->rack;
             // Run times vary by a fifth, so that the servers' slots don't all end together.
             const double varied = 0.8 + 0.4 * static_cast<double>(m_random() % 1000) / 1000.0;
-            const double run = static_cast<double>(m_queue.run.count()) * (task.near ? 1.0 : m_factor);
+            const double run = static_cast<double>(job->run.count()) * (task.near ? 1.0 : m_factor);
             task.run = Duration(static_cast<std::int64_t>(run * varied));
             task.inTimeBy = job->objective - Duration(static_cast<std::int64_t>(run)) - milliseconds(6);
             task.waitUntil = place.waitWithin > Duration(0) ? m_now + place.waitWithin : TimePoint();
@@ -386,6 +430,7 @@
     std::mt19937_64 m_random;
     TimePoint m_now = Now;
     double m_due = 0;
+    double m_backgroundDue = 0;
     std::vector<Server> m_servers;
     std::vector<Entry> m_entries;
 };
@@ -396,9 +441,11 @@
 {
     const double factor = GENERATE(1.5, 2.0, 3.0);
     const std::uint32_t rackServers = GENERATE(8U, 10U);
-    const HotQueue queue = GENERATE(HotQueue{2, milliseconds(200), 600}, HotQueue{8, milliseconds(60), 400});
+    const HotQueue queue = GENERATE(HotQueue{2, milliseconds(200), 600}, HotQueue{8, milliseconds(60), 400},
+                                    HotQueue{2, milliseconds(200), 600, 900}, HotQueue{8, milliseconds(60), 400, 900});
     double share[3] = {};
     double cpu[3] = {};
+    std::uint32_t background[3] = {};
     for (const Policy policy : {Policy::Wait, Policy::DontWait, Policy::Decide}) {
         std::uint32_t submitted = 0;
         std::uint32_t inTime = 0;
@@ -407,13 +454,16 @@
             replay.run();
             submitted += replay.submitted;
             inTime += replay.inTime;
+            background[static_cast<std::size_t>(policy)] += replay.backgroundInTime;
             cpu[static_cast<std::size_t>(policy)] += replay.coreSeconds;
         }
         share[static_cast<std::size_t>(policy)] = static_cast<double>(inTime) / submitted;
     }
-    INFO("run_us " << queue.run.count() << " factor " << factor << ", " << rackServers << " servers: in time " << share[0]
-                   << " waiting, " << share[1] << " not waiting, " << share[2] << " deciding; core-seconds " << cpu[0] << ", "
-                   << cpu[1] << ", " << cpu[2]);
+    INFO("background jobs per second " << queue.backgroundJobsPerSecond << ", run time in us " << queue.run.count() << ", factor "
+                                       << factor << ", " << rackServers << " servers: in time " << share[0] << " waiting, "
+                                       << share[1] << " not waiting, " << share[2] << " deciding; of the other queue "
+                                       << background[0] << ", " << background[1] << ", " << background[2] << "; core-seconds "
+                                       << cpu[0] << ", " << cpu[1] << ", " << cpu[2]);
     CHECK(share[2] > share[0]);
     CHECK(share[2] > share[1] - 0.005);
 }
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -1479,6 +1479,17 @@
     REQUIRE(fixture.starting.unanswered() == 0);
 }
 
+TEST_CASE("A held job is served for the client that waits longest")
+{
+    StartingEntry fixture;
+    fixture.submitFor(1, 7, milliseconds(500));
+    fixture.submitFor(2, 7, seconds(3));
+    fixture.run(milliseconds(300), false, true);
+    fixture.run(milliseconds(30), true, true);
+    REQUIRE(fixture.orders().size() == 1);
+    REQUIRE(fixture.orders()[0].startWithin > seconds(2));
+}
+
 TEST_CASE("A held job that is refused at the opening is not run for another of its clients")
 {
     StartingEntry fixture;
