Agents report at once that they have examined their server

Cause: the report that follows the first list of a server's runs did not name the entries if another one had in the 150 ms before, and none followed at once if runs of a former agent were listed. Entries waited for the next heartbeat.

Change: the first complete list makes a report that names the entries due at all entries.

--- a/src/core/dispatch/agent_coordinators.cpp
+++ b/src/core/dispatch/agent_coordinators.cpp
@@ -98,7 +98,11 @@
     }
     // Entries that have just started wait for reports of all agents that name it.
     coordinator.named = true;
-    const TimePoint due = now + m_settings.timing.newEntryReportDelay;
+    nameEntriesToAll(now + m_settings.timing.newEntryReportDelay);
+}
+
+void AgentDispatch::nameEntriesToAll(TimePoint due)
+{
     for (Coordinators::value_type &entry : m_coordinators) {
         if (entry.second.reporting) {
             entry.second.liveEntriesSentAt = TimePoint();
--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -249,6 +249,8 @@
     std::vector<LiveEntry> liveEntries(TimePoint now) const;
     /// Records the time at which a coordinator is known to have been running, from the maximum age of its message.
     void recordAlive(TimePoint now, Coordinator &coordinator, const Envelope &envelope, Duration age);
+    /// Has each entry that gets reports get one by a time that names the live entries.
+    void nameEntriesToAll(TimePoint due);
     /// Names the live entries in a report, with the jobs whose runs don't belong to one of them.
     void describeEntries(TimePoint now, AgentReport &report) const;
     /// Time on the server's clock after which it has to reject a start request that is sent now; nullopt if such a request would
--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -652,7 +652,12 @@
         recordEnd(now, record, startUnknown ? RunEnd::NeverStarted : RunEnd::Lost,
                   startUnknown ? RefusalReason::Unreachable : RefusalReason::None, startUnknown);
     }
-    m_examined = inventory.complete ? !unrecordedRunListed : m_examined && !unrecordedRunListed;
+    const bool examinedBefore = m_examined;
+    m_examined = (inventory.complete || m_examined) && !unrecordedRunListed;
+    if (m_examined && !examinedBefore) {
+        // Entries that have just started wait for it.
+        nameEntriesToAll(now);
+    }
     if (foreignRunListed && m_reconciled) {
         // The resources that the foreign run uses are unknown, so no other run is started until it has ended.
         m_reconciled = false;
