An entry's first heartbeat has an uptime above zero

Cause: an uptime of zero stands for an entry of a version that does not confirm lists. Entries sent it with the heartbeat of their first tick.

Change: the uptime in heartbeats is at least 1 ms.

--- a/src/core/dispatch/entry_peers.cpp
+++ b/src/core/dispatch/entry_peers.cpp
@@ -333,7 +333,8 @@
             heartbeat.activeJobs = jobs;
             heartbeat.formerJobs = formerJobs(now, entry);
             heartbeat.confirmedList = entry.lists.sentAt;
-            heartbeat.uptime = now - m_startedAt;
+            // An uptime of zero would stand for an entry of a version that does not confirm lists.
+            heartbeat.uptime = std::max(now - m_startedAt, Duration(milliseconds(1)));
             heartbeat.sharesCancelledJobs = true;
             heartbeat.wantsCancelledJobs = !entry.cancelledJobsReceived;
             if (entry.cancelledJobsRequested && now - entry.cancelledJobsSentAt >= m_settings.timing.cancelledJobsInterval) {
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -1733,3 +1733,14 @@
     REQUIRE(fixture.clients.answers.at(1) == JobOutcome::Succeeded);
     REQUIRE(fixture.deciding.fleet().agents().at(agent.endpoint).health.slowness(fixture.now) == Approx(1.0));
 }
+
+TEST_CASE("An entry confirms lists from its first heartbeat on")
+{
+    // An uptime of zero stands for an entry that does not. One that was cut off after that heartbeat of the other one continued
+    // jobs without its confirmation, and the other one started them as well.
+    StartingEntry fixture;
+    fixture.starting.onTick(fixture.now);
+    const std::vector<EntryReport> heartbeats = fixture.links.messagesTo<EntryReport>(OtherEntry.endpoint);
+    REQUIRE(heartbeats.size() == 1);
+    REQUIRE(heartbeats[0].uptime > Duration(0));
+}
