--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -1935,3 +1935,14 @@
     CHECK(orders[0].baseline == milliseconds(100));
     CHECK(ratio(orders[0].estimate, orders[0].baseline) == Approx(2.0).epsilon(0.02));
 }
+
+TEST_CASE("An entry confirms lists from its first heartbeat on")
+{
+    // An uptime of zero stands for an entry that does not. One that was cut off after that heartbeat of the other one continued
+    // jobs without its confirmation, and the other one started them as well.
+    StartingEntry fixture;
+    fixture.starting.onTick(fixture.now);
+    const std::vector<EntryReport> heartbeats = fixture.links.messagesTo<EntryReport>(OtherEntry.endpoint);
+    REQUIRE(heartbeats.size() == 1);
+    REQUIRE(heartbeats[0].uptime > Duration(0));
+}
