--- a/tests/dispatch_tests.cpp
+++ b/tests/dispatch_tests.cpp
@@ -122,8 +122,8 @@
     INFO(inTime << " in time and " << refused << " refused of " << submitted);
     // Clients whose connection breaks (5 %) resubmit after 1.3 s, which is too late for their latency objective.
     CHECK(share(inTime, submitted) > 0.9);
-    // Jobs that arrive together may exceed the servers for a moment.
-    CHECK(share(refused, submitted) < 0.005);
+    // Jobs that arrive together may exceed the servers for a moment; one job of a seed is 0.4 %.
+    CHECK(share(refused, submitted) < 0.004);
 }
 
 TEST_CASE("After a restart of all entries and agents, jobs are admitted within 0.3 s of the last start")
@@ -554,8 +554,8 @@
 
 TEST_CASE("Jobs that arrive before the entries of a restarted fleet may admit jobs are held and served")
 {
-    // Scenario: a power loss ends all entries at once. For 0.8 s to 2 s after their start they can't admit jobs, and would answer
-    // 504 to each. Here clients submit again after 1.3 s, when only long jobs can still be in time.
+    // Scenario: a power loss ends all entries at once, and the store does not answer. For 1.1 s to 2 s after their start they can't
+    // admit jobs, and would answer 504 to each. Here clients submit again after 1.3 s, when only long jobs can still be in time.
     std::uint64_t submitted = 0;
     std::uint64_t inTime[2] = {};
     for (const bool holds : {false, true}) {
@@ -564,6 +564,7 @@
             settings.seed = seed;
             settings.jobsPerSecond = 60;
             settings.maxHeldJobs = holds ? settings.maxHeldJobs : 0;
+            settings.storeAnswers = false;
             for (std::size_t entry = 0; entry < settings.entries; ++entry) {
                 settings.entryKills.push_back(ScheduledEntryKill{5.0, entry, milliseconds(300)});
             }
