An agent whose server has gone shows after its start that there are no runs

If the address refuses connections, there are no runs, and its reports say so (examined). Measured: agent_dispatch_tests pass with a new case that failed before.

--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -317,6 +317,9 @@
     /// Requests the inventory of the backend server. The poll also renews the lease and acknowledges ended runs. The server holds
     /// a long poll until a run ends or pollHoldTime has passed.
     void pollServer(TimePoint now, bool longPoll);
+    /// Finds out, shortly after the start and before the first announcement, whether there is a backend server at all. If its
+    /// address refuses connections, it has no runs.
+    void checkForServer(TimePoint now);
     /// Whether the server may get a start request: it has shown that it is the incarnation whose labels and capacity are known,
     /// and it has been polled since.
     bool incarnationSeen(TimePoint now) const noexcept;
@@ -405,7 +408,8 @@
     FencingToken m_token;
     std::int64_t m_tokenIncrement = 1;
     ServerTime m_leaseUntil; ///< Latest lease limit or start deadline sent to this incarnation, on its clock.
-    bool m_examined = false; ///< The ledger has all runs of this incarnation, also those that a former agent started.
+    /// The ledger has all runs of this incarnation, also those that a former agent started, or there is no server.
+    bool m_examined = false;
     bool m_reconciled = false; ///< A complete inventory of this incarnation has been read and lists no run of unknown origin.
     bool m_reachable = true;
     bool m_shuttingDown = false;
--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -475,6 +475,19 @@
     return m_clock.known() ? m_leaseUntil.value() - m_clock.lowerBound(now).value() : 0;
 }
 
+void AgentDispatch::checkForServer(TimePoint now)
+{
+    const bool starting = now - m_startedAt < m_settings.timing.startReportPeriod;
+    if (m_examined || m_pollInFlight || !starting || now < m_nextPollAt) {
+        return;
+    }
+    m_nextPollAt = now + m_settings.timing.probeInterval;
+    m_pollInFlight = true;
+    PollRequest poll;
+    poll.token = m_token;
+    m_server.poll(++m_pollNumber, poll);
+}
+
 void AgentDispatch::pollServer(TimePoint now, bool longPoll)
 {
     if (!m_serverIncarnation) {
@@ -517,6 +530,11 @@
     }
     m_pollInFlight = false;
     if (!m_serverIncarnation) {
+        if (failure == PollFailure::Refused && !m_examined) {
+            m_examined = true;
+            m_log.write(LogLevel::Info, "server-absent", "reason=connection-refused");
+            reportToAll(now);
+        }
         return;
     }
     if (m_announcedIncarnation && number >= m_announcedIncarnationPoll && adoptAnnouncedIncarnation(now, inventory, failure)) {
@@ -731,6 +749,7 @@
 void AgentDispatch::checkServer(TimePoint now)
 {
     if (!m_serverIncarnation) {
+        checkForServer(now);
         return;
     }
     const bool leaseExpired = m_clock.known() && remainingLeaseMs(now) < -LeaseMarginMs;
--- a/src/ports/dispatch_ports.h
+++ b/src/ports/dispatch_ports.h
@@ -72,7 +72,7 @@
 /// `maxWait` it is a long poll.
 struct PollRequest
 {
-    ServerIncarnation server;
+    ServerIncarnation server; ///< Without an id, any incarnation responds.
     std::optional<ServerTime> leaseUntil; ///< Extends the lease to at least this time; empty leaves it unchanged.
     FencingToken token;
     std::uint64_t acknowledgedEnd = 0; ///< Acknowledges finished runs up to this number; the server may discard them.
--- a/tests/agent_dispatch_tests.cpp
+++ b/tests/agent_dispatch_tests.cpp
@@ -1221,6 +1221,32 @@
     }
 }
 
+TEST_CASE("An agent whose server has gone shows after its start that there are no runs")
+{
+    // Guards against a fleet that waits after a restart for agents whose servers have left: these never announce themselves.
+    RecordingServer server;
+    RecordingLinks links;
+    DiscardingLog log;
+    AgentFixture other;
+    TimePoint now = other.now;
+    AgentDispatch agent(AgentFixture::settings(), server, links, log, now);
+    now += milliseconds(15);
+    agent.onTick(now);
+    const std::uint64_t poll = server.lastPollNumber;
+    REQUIRE(poll > 0);
+    const PollFailure failure = GENERATE(PollFailure::Refused, PollFailure::Unknown, PollFailure::NotSent);
+    agent.onPollAnswered(now, poll, std::nullopt, failure);
+    now += milliseconds(510);
+    agent.onTick(now);
+    REQUIRE(std::get<AgentReport>(links.lastEnvelopes.at(other.sender).message).examined == (failure == PollFailure::Refused));
+    // Without an answer it asks again.
+    REQUIRE((server.lastPollNumber > poll) == (failure != PollFailure::Refused));
+    agent.onAnnouncement(now, other.makeAnnouncement(Resources{12000, 1000, 0}));
+    now += milliseconds(210);
+    agent.onTick(now);
+    REQUIRE_FALSE(std::get<AgentReport>(links.lastEnvelopes.at(other.sender).message).examined);
+}
+
 TEST_CASE("An agent refuses orders for jobs that were requested long before it heard their coordinator")
 {
     // Guards against a second run: an entry may have relied on a report that did not name the coordinator, and the job's client
