Jobs of entries that have just started: fewer refusals, and only true ones

Only agents that were heard count. Jobs are held behind others only while admission is open. Requests are released at a shutdown, and wait for a configuration for 200 ms at most, as a job must be listed within 0.3 s of its request.

--- a/src/core/dispatch/entry_dispatch.cpp
+++ b/src/core/dispatch/entry_dispatch.cpp
@@ -295,6 +295,16 @@
     if (held == nullptr && hold(now, waiting, job, path)) {
         return;
     }
+    // A refusal says that the job has not run, which is not known while an agent lists a run of it, or before an entry that has
+    // just started has heard the others.
+    if (mayHaveFormerRunsAtAgents(now, id)) {
+        holdBack(now, client, id, "former-runs");
+        return;
+    }
+    if (starting(now) && !mayAdmit(now)) {
+        holdBack(now, client, id, "entries-not-heard");
+        return;
+    }
     // The servers for later steps may be busy or draining now, but a step that no server can hold would waste the earlier ones.
     const bool servable = std::all_of(spec->steps.begin(), spec->steps.end(), [&](const StepSpec &step) {
         return m_fleet.hasServerFor(queue->service, step.need, step.requiredLabel);
--- a/src/core/dispatch/entry_held_jobs.cpp
+++ b/src/core/dispatch/entry_held_jobs.cpp
@@ -51,7 +51,7 @@
     for (const StepSpec &step : job.spec->steps) {
         held.tasks += step.after.empty() ? step.count : 0;
     }
-    const bool waits = awaitsAdmission(now, job.queue->service) || m_held.isAheadOf(now, held.latestStart);
+    const bool waits = awaitsAdmission(now, job.queue->service) || (mayAdmit(now) && m_held.isAheadOf(now, held.latestStart));
     if (!waits || held.usefulUntil <= now) {
         return false;
     }
@@ -130,7 +130,11 @@
 
 void EntryDispatch::releaseHeldJobs(TimePoint now)
 {
-    m_agentArrival.record(now, m_fleet.agents().size());
+    // Agents that the store lists are known before they are heard.
+    const std::ptrdiff_t heard =
+        std::count_if(m_fleet.agents().begin(), m_fleet.agents().end(),
+                      [](const FleetView::Agents::value_type &agent) { return agent.second.session.hasReceivedMessage(); });
+    m_agentArrival.record(now, static_cast<std::size_t>(heard));
     if (m_held.empty()) {
         return;
     }
--- a/src/daemon/entry_process.cpp
+++ b/src/daemon/entry_process.cpp
@@ -77,13 +77,21 @@
 
 void EntryProcess::receiveRequest(HttpRequest &&request, const std::shared_ptr<HttpExchange> &exchange)
 {
-    if (!m_gateway.configured() && !request.connectionEnded && m_unconfigured.hasRoom(request.body.size())) {
+    const bool shutsDown = m_shutdownRequestedAt != TimePoint();
+    if (!m_gateway.configured() && !shutsDown && !request.connectionEnded && m_unconfigured.hasRoom(request.body.size())) {
         m_unconfigured.add(now(), std::move(request), exchange);
         return;
     }
     m_gateway.handle(std::move(request), exchange, now());
 }
 
+void EntryProcess::releaseUnconfigured()
+{
+    m_unconfigured.releaseAll([this](HttpRequest &&request, const std::shared_ptr<HttpExchange> &exchange, TimePoint arrivedAt) {
+        m_gateway.handle(std::move(request), exchange, arrivedAt);
+    });
+}
+
 bool EntryProcess::isReady(TimePoint time) const
 {
     return m_shutdownRequestedAt == TimePoint() && m_gateway.configured() && m_dispatch->usableAgents(time) > 0
@@ -112,9 +120,7 @@
     m_log.write(LogLevel::Info, "config-adopted",
                 "version=" + std::to_string(config->version) + " source=" + source
                     + " queues=" + std::to_string(config->queues.size()));
-    m_unconfigured.releaseAll([this](HttpRequest &&request, const std::shared_ptr<HttpExchange> &exchange, TimePoint arrivedAt) {
-        m_gateway.handle(std::move(request), exchange, arrivedAt);
-    });
+    releaseUnconfigured();
 }
 
 void EntryProcess::onTick(TimePoint time, Duration lag)
@@ -137,6 +143,7 @@
 void EntryProcess::onShutdownRequested(TimePoint time)
 {
     m_clientServer->startDraining();
+    releaseUnconfigured();
     m_dispatch->setShutdownDeadline(time + m_settings.stopGrace - JobEndMargin);
     m_store->unregister();
 }
--- a/src/daemon/entry_process.h
+++ b/src/daemon/entry_process.h
@@ -30,6 +30,8 @@
     void applyConfig(const std::string &document, const char *source);
     /// Handles a client's request, or holds it until the first configuration is known.
     void receiveRequest(HttpRequest &&request, const std::shared_ptr<HttpExchange> &exchange);
+    /// Handles the requests that have waited for the first configuration.
+    void releaseUnconfigured();
     /// Whether the load balancer should route new connections to this entry.
     bool isReady(TimePoint now) const;
 
--- a/src/daemon/request_hold.h
+++ b/src/daemon/request_hold.h
@@ -13,8 +13,9 @@
 /// Limits on the requests that wait, and on their time.
 struct RequestHoldLimits
 {
-    /// Reading the configuration takes a few milliseconds, and up to 250 ms while a whole fleet starts.
-    Duration maxWait = milliseconds(300);
+    /// Reading the configuration takes a few milliseconds, and up to 250 ms while a whole fleet starts. A job has to be on the
+    /// entry's list within 0.3 s of its request, as clients repeat requests after 1.3 s and lists of up to 1 s of age are used.
+    Duration maxWait = milliseconds(200);
     std::size_t maxRequests = 512;
     std::size_t maxBytes = 4U << 20U; ///< Of all bodies: the smallest entries have 120 MB.
 };
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -1126,6 +1126,17 @@
         restarted.submit(fixture.now, ClientTag(2), fixture.queue, other, EntryFixture::makeSpec(milliseconds(50)), seconds(2));
         REQUIRE(fixture.clients.answers.count(2) == 0);
     }
+    SECTION("A job that an agent lists is not answered as not run although no server has room for it")
+    {
+        AgentReport full = fixture.makeReport();
+        full.examined = true;
+        full.liveEntries = both;
+        full.formerJobs = {Job1.key()};
+        full.load.capacity = full.load.free = Resources{1, 1, 0};
+        restarted.onMessage(fixture.now, fixture.envelopeFrom(Agent, full));
+        restarted.submit(fixture.now, ClientTag(1), fixture.queue, Job1, EntryFixture::makeSpec(milliseconds(50)), seconds(2));
+        REQUIRE(fixture.clients.answers.at(1) == JobOutcome::GivenUp);
+    }
     SECTION("A former incarnation that an agent has heard last may have runs")
     {
         const ProcessId former =
@@ -1496,6 +1507,53 @@
     REQUIRE(fixture.orders().back().job == StartingEntry::jobId(31));
 }
 
+TEST_CASE("An entry that has just started and may not admit jobs does not answer that a job has not run")
+{
+    // Another entry may run the job: its list has not arrived here. The queue of held jobs is turned off, and no agent was heard.
+    StartingEntry fixture(0);
+    fixture.submitJob(1);
+    REQUIRE(fixture.answer(1) == JobOutcome::GivenUp);
+}
+
+TEST_CASE("Held jobs wait for agents that the store lists and that have not been heard")
+{
+    // Guards against a release into a fleet of which no agent is usable yet, which would refuse all of them.
+    StartingEntry fixture;
+    std::vector<Endpoint> listed;
+    for (std::uint32_t i = 0; i < 40; ++i) {
+        listed.push_back(Endpoint{50 + i, 7000});
+    }
+    fixture.starting.addListedAgents(fixture.now, listed);
+    fixture.submitJob(1);
+    fixture.run(milliseconds(120), true, false);
+    REQUIRE_FALSE(fixture.answer(1));
+    REQUIRE(fixture.starting.counters().held == 1);
+}
+
+TEST_CASE("Jobs are not held on for others while admission stays closed after the start")
+{
+    // Each new job has a later start than one that is held; without the limit, all were held until they could no longer be
+    // served.
+    // The agent no longer names this entry, so it may have missed lists.
+    StartingEntry fixture;
+    const auto runUnnamed = [&](Duration length) {
+        for (const TimePoint end = fixture.now + length; fixture.now < end;) {
+            fixture.now += milliseconds(15);
+            AgentReport report = fixture.makeReport();
+            report.liveEntries = std::vector<LiveEntry>{LiveEntry{OtherEntry.endpoint, OtherEntry.incarnation}};
+            fixture.starting.onMessage(fixture.now, fixture.envelopeFrom(Agent, report));
+            fixture.starting.onTick(fixture.now);
+        }
+    };
+    runUnnamed(milliseconds(1950));
+    fixture.submitJob(1, seconds(4));
+    REQUIRE(fixture.starting.counters().held == 1);
+    runUnnamed(milliseconds(150));
+    REQUIRE_FALSE(fixture.starting.mayAdmit(fixture.now));
+    fixture.submitJob(2, seconds(4));
+    REQUIRE(fixture.answer(2) == JobOutcome::GivenUp);
+}
+
 TEST_CASE("Jobs that became late while they were held start only on free servers, and are otherwise answered as not run")
 {
     const bool capacityFree = GENERATE(true, false);
