The former policy decides while the ledger evicts queues

Cause: with more than 64 active queues each new one evicts another, and a queue that comes back starts with a usual demand of 0. Its whole demand counted as a surge, so the wrong queues were refused. Change: isMeasured() is false for 20 s after an eviction, the period of the usual demand, with and without digests of other entries.

--- a/src/core/dispatch/demand_ledger.cpp
+++ b/src/core/dispatch/demand_ledger.cpp
@@ -61,6 +61,10 @@
 
 bool DemandLedger::isMeasured(TimePoint now) const
 {
+    // A queue that comes back after its eviction would seem to surge with all its demand until its usual demand is learned again.
+    if (m_evictedAt != TimePoint() && secondsOf(now - m_evictedAt) < UsualSeconds) {
+        return false;
+    }
     return measuresUsualDemand(now)
         || std::any_of(m_digests.begin(), m_digests.end(), [now](const std::pair<const Endpoint, PeerDigest> &digest) {
                return now - digest.second.receivedAt <= DigestRetention;
@@ -86,6 +90,7 @@
     std::map<QueueKey, OwnQueue>::iterator it = m_own.find(queue);
     if (it == m_own.end()) {
         if (m_own.size() >= MaxOwnQueues) {
+            m_evictedAt = now;
             m_own.erase(
                 std::min_element(m_own.begin(), m_own.end(),
                                  [](const std::pair<const QueueKey, OwnQueue> &a, const std::pair<const QueueKey, OwnQueue> &b) {
--- a/src/core/dispatch/demand_ledger.h
+++ b/src/core/dispatch/demand_ledger.h
@@ -28,7 +28,7 @@
 
     /// Entries of a digest; the largest demands are sent.
     static constexpr std::size_t MaxDigestQueues = 16;
-    /// Queues measured here. The one with the least demand is replaced.
+    /// Queues measured here. The one with the least demand is evicted for a new one.
     static constexpr std::size_t MaxOwnQueues = 64;
     /// Queues of the whole fleet. Further ones in digests are ignored.
     static constexpr std::size_t MaxFleetQueues = 256;
@@ -52,7 +52,8 @@
 
     Digest digest(TimePoint now);
 
-    /// Whether the usual demand is known: measured here for some seconds, or reported by another entry.
+    /// Whether the usual demand is known: measured here for some seconds, or reported by another entry. False while there are
+    /// more queues than are measured here, as the usual demand of an evicted queue is lost.
     bool isMeasured(TimePoint now) const;
 
     /// Demand of the fleet. At most 0.1 s old as far as it is measured here.
@@ -101,6 +102,7 @@
     std::map<Endpoint, PeerDigest> m_digests;
     Demands m_fleet;
     TimePoint m_firstRecordAt; ///< Zero before the first record.
+    TimePoint m_evictedAt; ///< Zero before the first eviction of a queue.
     TimePoint m_updatedAt;
     TimePoint m_slowUntil;
     std::map<QueueKey, double> m_presentAtChange; ///< By queue, in cores.
--- a/tests/admission_tests.cpp
+++ b/tests/admission_tests.cpp
@@ -601,3 +601,43 @@
     CHECK(refused.at("steady") == Approx(1.0).margin(0.01));
     CHECK(refused.at("surging") == Approx(1.0).margin(0.01));
 }
+
+TEST_CASE("With more queues than the ledger keeps, the former policy decides")
+{
+    // Guards against queues that are refused as a surge because the ledger has evicted their usual demand.
+    constexpr int Queues = 120;
+    QueueConfig config;
+    for (int i = 0; i < Queues; ++i) {
+        std::shared_ptr<QueueRule> rule = std::make_shared<QueueRule>();
+        rule->name = "queue-" + std::to_string(i);
+        rule->service = "svc";
+        rule->urgency = 1;
+        config.queues.push_back(std::move(rule));
+    }
+    UsualShareAdmission usualShare({});
+    usualShare.setQueues(config);
+    LargestFirstAdmission largestFirst;
+    std::map<AdmissionDecision, int> decisions;
+    std::map<AdmissionDecision, int> formerDecisions;
+    int different = 0;
+    // Each queue submits ten jobs a second, and the last one forty from the tenth second on.
+    for (int step = 0; step < 160; ++step) {
+        const TimePoint now = Start + step * milliseconds(100);
+        const bool burst = step >= 100;
+        for (int i = 0; i < Queues; ++i) {
+            for (int job = 0; job < (burst && i == Queues - 1 ? 4 : 1); ++job) {
+                const QueueRule &queue = *config.queues[static_cast<std::size_t>(i)];
+                const AdmissionDecision decision = usualShare.decide(now, queue, 1.0, burst ? 0.45 : 0.0);
+                const AdmissionDecision former = largestFirst.decide(now, queue, 1.0, burst ? 0.45 : 0.0);
+                ++decisions[decision];
+                ++formerDecisions[former];
+                different += decision != former ? 1 : 0;
+            }
+        }
+    }
+    INFO(decisions[AdmissionDecision::Shed] << " shed and " << decisions[AdmissionDecision::RefuseSurge]
+                                            << " refused as a surge; former policy: " << formerDecisions[AdmissionDecision::Shed]
+                                            << " shed");
+    CHECK(formerDecisions[AdmissionDecision::Shed] > 0);
+    CHECK(different == 0);
+}
--- a/tests/demand_ledger_tests.cpp
+++ b/tests/demand_ledger_tests.cpp
@@ -172,3 +172,20 @@
     load(ledger, A, Start + seconds(15), Start + milliseconds(15'300), 60);
     REQUIRE(ledger.digest(Start + milliseconds(15'300)).changedAt == Start + milliseconds(15'300));
 }
+
+TEST_CASE("The usual demand counts as unknown while there are more queues than the ledger keeps")
+{
+    // Guards against a queue whose usual demand was lost when it was evicted, so that all its demand counts as a surge.
+    DemandLedger ledger;
+    TimePoint now = Start;
+    for (; now < Start + seconds(5); now += milliseconds(100)) {
+        for (std::size_t i = 0; i <= DemandLedger::MaxOwnQueues; ++i) {
+            ledger.record(now, queueKey("queue-" + std::to_string(i)), 1.0);
+        }
+    }
+    const TimePoint evictedAt = now - milliseconds(100);
+    REQUIRE(ledger.receive(now, Peer, {QueueDemand{A, 1e3, 1e3}}));
+    REQUIRE_FALSE(ledger.isMeasured(now));
+    REQUIRE_FALSE(ledger.isMeasured(evictedAt + milliseconds(19'900)));
+    REQUIRE(ledger.isMeasured(evictedAt + milliseconds(20'000)));
+}
