Digests of other entries are bounded by the demand of the others

Cause: figures of up to 1e12 millicores were accepted. One wrong figure of a peer made the unused share exceed every surge. Change: figures above 20 times the largest of the own demand and the digests of the other entries (counted as 5 cores at least) are ignored and counted as malformed. Without another demand to compare with, the limit is 1,000,000 cores. A wrong figure below the limit still counts.

--- a/src/core/dispatch/demand_ledger.cpp
+++ b/src/core/dispatch/demand_ledger.cpp
@@ -34,9 +34,16 @@
 constexpr double MinLearnedShare = 0.1;
 /// Queues are removed once their demand is below this, in cores.
 constexpr double NegligibleDemand = 1e-3;
-/// Far above the demand of any fleet; keeps sums finite.
-constexpr double MaxCpuMilli = 1e12;
 constexpr double MilliPerCore = 1e3;
+/// Largest figure of a digest as a multiple of the largest one of the other digests and the own demand. Entries of one fleet
+/// differ by a factor of 6 in their cores, and a burst adds a factor of 2.6. A larger figure would outweigh the demand of the
+/// whole fleet, so that the usual demand would never seem to be exceeded.
+constexpr double MaxRatioToOthers = 20.0;
+/// The largest figure of the others counts as at least this much, in millicores, so that an entry that receives hardly any jobs
+/// accepts the digests of busy ones.
+constexpr double MinLargestOfOthers = 5.0 * MilliPerCore;
+/// Largest figure while there is no other demand to compare with; above the cores of any fleet.
+constexpr double MaxCpuMilli = 1e6 * MilliPerCore;
 /// Change of a queue's present demand, as a fraction of the total one, that the other entries learn of with the next heartbeat. A
 /// burst of 1.8 times a queue with a quarter of the demand exceeds it in half a second.
 constexpr double MaxUnreportedChange = 0.05;
@@ -47,9 +54,9 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-bool isValid(double cpuMilli)
+bool isValid(double cpuMilli, double maximum)
 {
-    return std::isfinite(cpuMilli) && cpuMilli >= 0.0 && cpuMilli <= MaxCpuMilli;
+    return std::isfinite(cpuMilli) && cpuMilli >= 0.0 && cpuMilli <= maximum;
 }
 
 } // namespace
@@ -203,14 +210,34 @@
     return m_fleet;
 }
 
+double DemandLedger::maxCpuMilliFrom(TimePoint now, const Endpoint &from) const
+{
+    double largest = 0;
+    if (measuresUsualDemand(now)) {
+        for (const std::pair<const QueueKey, OwnQueue> &item : m_own) {
+            largest = std::max({largest, item.second.usual * MilliPerCore, present(item.second) * MilliPerCore});
+        }
+    }
+    for (const std::pair<const Endpoint, PeerDigest> &digest : m_digests) {
+        if (digest.first == from || now - digest.second.receivedAt > DigestRetention) {
+            continue;
+        }
+        for (const QueueDemand &demand : digest.second.demands) {
+            largest = std::max({largest, demand.usualCpuMilli, demand.presentCpuMilli});
+        }
+    }
+    return largest > 0.0 ? std::min(MaxRatioToOthers * std::max(largest, MinLargestOfOthers), MaxCpuMilli) : MaxCpuMilli;
+}
+
 bool DemandLedger::receive(TimePoint now, const Endpoint &from, const std::vector<QueueDemand> &digest)
 {
     const std::uint64_t malformedBefore = m_malformedFigures;
     PeerDigest taken;
     taken.receivedAt = now;
     std::set<QueueKey> seen;
+    const double maximum = maxCpuMilliFrom(now, from);
     for (const QueueDemand &demand : digest) {
-        const bool valid = isValid(demand.usualCpuMilli) && isValid(demand.presentCpuMilli);
+        const bool valid = isValid(demand.usualCpuMilli, maximum) && isValid(demand.presentCpuMilli, maximum);
         if (!valid || taken.demands.size() >= MaxDigestQueues || !seen.insert(demand.queue).second) {
             ++m_malformedFigures;
             continue;
--- a/src/core/dispatch/demand_ledger.h
+++ b/src/core/dispatch/demand_ledger.h
@@ -39,8 +39,8 @@
     /// Slows the learning of the usual demand for some time. Called while the backlog requires refusals.
     void slowLearning(TimePoint now);
 
-    /// Takes over the digest of another entry in place of its former one. Figures that can't be right are ignored and counted.
-    /// Returns whether all figures were valid.
+    /// Takes over the digest of another entry in place of its former one. Figures that can't be right are ignored and counted,
+    /// among them those far above the own demand and all figures of the others. Returns whether all figures were valid.
     bool receive(TimePoint now, const Endpoint &from, const std::vector<QueueDemand> &digest);
 
     struct Digest
@@ -91,6 +91,8 @@
     /// Decays the demands and learns the usual ones, in steps of at least the update interval.
     void update(TimePoint now);
     void mergeFleet(TimePoint now);
+    /// Largest figure that a digest of this entry may contain, in view of the own demand and the digests of the others.
+    double maxCpuMilliFrom(TimePoint now, const Endpoint &from) const;
     /// Sets m_changedAt if the present demand differs much from that at m_changedAt.
     void detectChange(TimePoint now);
     /// Mean demand of the other entries; empty without digests.
--- a/tests/admission_tests.cpp
+++ b/tests/admission_tests.cpp
@@ -496,6 +496,12 @@
         m_digest.push_back(QueueDemand{queueKey(name), usualCores * 1e3, presentCores * 1e3});
     }
 
+    /// Makes a further entry report this demand.
+    void addWrongDigest(const std::string &name, double usualCores, double presentCores)
+    {
+        m_wrongDigest.push_back(QueueDemand{queueKey(name), usualCores * 1e3, presentCores * 1e3});
+    }
+
     /// Fraction that is refused of each queue's jobs if this fraction of the less urgent work has to be refused.
     std::map<std::string, double> refused(double fraction, std::map<std::string, double> weights = {}) const
     {
@@ -513,6 +519,7 @@
         for (int i = -2 * rounds; i < rounds; ++i, now += milliseconds(5)) {
             if (i >= -rounds && i % 100 == 0) {
                 REQUIRE(policy.receiveDigest(now, Endpoint{2, 7000}, m_digest));
+                CHECK(policy.receiveDigest(now, Endpoint{3, 7000}, m_wrongDigest) == m_wrongDigest.empty());
             }
             for (const std::shared_ptr<const QueueRule> &queue : m_config.queues) {
                 const bool refused = policy.decide(now, *queue, ownWork, backlog) != AdmissionDecision::Admit;
@@ -525,6 +532,7 @@
 private:
     QueueConfig m_config;
     std::vector<QueueDemand> m_digest;
+    std::vector<QueueDemand> m_wrongDigest;
 };
 
 } // namespace
@@ -641,3 +649,17 @@
     CHECK(formerDecisions[AdmissionDecision::Shed] > 0);
     CHECK(different == 0);
 }
+
+TEST_CASE("A wrong figure of one entry does not hide a surge")
+{
+    // Guards against a share that seems unused and is lent to all surges.
+    RefusalProbe probe;
+    probe.addQueue("steady", 1, 50, 50);
+    probe.addQueue("surging", 1, 20, 50);
+    const std::map<std::string, double> expected = probe.refused(0.2);
+    probe.addWrongDigest("steady", 1e6, 0);
+    const std::map<std::string, double> refused = probe.refused(0.2);
+    CHECK(refused == expected);
+    CHECK(refused.at("steady") == 0.0);
+    CHECK(refused.at("surging") * 50 == Approx(20).epsilon(0.05));
+}
--- a/tests/demand_ledger_tests.cpp
+++ b/tests/demand_ledger_tests.cpp
@@ -189,3 +189,27 @@
     REQUIRE_FALSE(ledger.isMeasured(evictedAt + milliseconds(19'900)));
     REQUIRE(ledger.isMeasured(evictedAt + milliseconds(20'000)));
 }
+
+TEST_CASE("Figures far above the demand of all other entries are ignored and counted")
+{
+    // Guards against one wrong figure that outweighs the demand of the whole fleet.
+    DemandLedger ledger;
+    // Without another demand to compare with, the first digest is used, as by an entry that has just started.
+    REQUIRE(ledger.receive(Start, Peer, {QueueDemand{A, 150e3, 300e3}}));
+    const Endpoint wrong{3, 7000};
+    REQUIRE_FALSE(ledger.receive(Start, wrong, {QueueDemand{A, 1e8, 0}, QueueDemand{B, 0, 1e8}}));
+    REQUIRE(ledger.malformedFigures() == 2);
+    REQUIRE(ledger.fleet(Start).at(A).usual == Approx(150));
+    REQUIRE(ledger.fleet(Start).count(B) == 0);
+    // Entries differ in size, so a demand of several times that of the others is valid.
+    REQUIRE(ledger.receive(Start, wrong, {QueueDemand{A, 1500e3, 3000e3}}));
+    REQUIRE(ledger.fleet(Start).at(A).usual == Approx(1650));
+
+    // The former digest of the same entry does not make its next one valid, and the own demand counts once it is known.
+    DemandLedger own;
+    REQUIRE(own.receive(Start, wrong, {QueueDemand{A, 1e8, 1e8}}));
+    load(own, B, Start, Start + milliseconds(2500), 20);
+    REQUIRE_FALSE(own.receive(Start + milliseconds(2500), wrong, {QueueDemand{A, 1e8, 1e8}}));
+    REQUIRE(own.receive(Start + milliseconds(2500), wrong, {QueueDemand{A, 20e3, 20e3}}));
+    REQUIRE(own.fleet(Start + milliseconds(2500)).at(A).usual == Approx(20));
+}
