A new configuration keeps the mean shed fractions of remaining services

Cause: setQueues() cleared the means, and a new mean starts at the present fraction. A peak of the backlog right after a configuration change was therefore cut from the largest queue instead of the queue that surges. Change: only the means of services that are no longer configured are removed.

--- a/src/core/dispatch/usual_share_admission.cpp
+++ b/src/core/dispatch/usual_share_admission.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace cuminscale::dispatch
 {
@@ -36,10 +37,15 @@
 void UsualShareAdmission::setQueues(const QueueConfig &queues)
 {
     m_queues.clear();
-    m_meanFractions.clear();
+    std::set<std::string> services;
     for (const std::shared_ptr<const QueueRule> &rule : queues.queues) {
         m_queues[queueKey(rule->name)] = QueueInfo{rule->name, rule->service, rule->urgency};
+        services.insert(rule->service);
     }
+    // A mean that starts anew would start at the present fraction, and a peak would be cut from the largest queue.
+    std::erase_if(m_meanFractions, [&services](const std::pair<const std::string, MeanFraction> &item) {
+        return services.count(item.first) == 0;
+    });
     m_configuredQueues = m_queues.size();
 }
 
--- a/tests/admission_tests.cpp
+++ b/tests/admission_tests.cpp
@@ -663,3 +663,51 @@
     CHECK(refused.at("steady") == 0.0);
     CHECK(refused.at("surging") * 50 == Approx(20).epsilon(0.05));
 }
+
+TEST_CASE("A change of the configuration does not turn a peak of the backlog into cuts of the largest queue")
+{
+    // Guards against a mean shed fraction that is lost with a new configuration and then starts at the peak.
+    QueueConfig config;
+    for (const char *name : {"large", "surging"}) {
+        std::shared_ptr<QueueRule> rule = std::make_shared<QueueRule>();
+        rule->name = name;
+        rule->service = "svc";
+        rule->urgency = 1;
+        config.queues.push_back(std::move(rule));
+    }
+    const std::vector<QueueDemand> digest{QueueDemand{queueKey("large"), 50e3, 50e3},
+                                          QueueDemand{queueKey("surging"), 10e3, 30e3}};
+    const double quietBacklog = 0.18; // A shed fraction of 0.05.
+    const double peakBacklog = 0.36; // A shed fraction of 0.35: more than the surge, less than the demand of its queue.
+    std::map<std::string, int> refused;
+    for (const bool reconfigures : {false, true}) {
+        UsualShareAdmission policy({});
+        policy.setQueues(config);
+        refused.clear();
+        for (int i = 0; i < 2050; ++i) {
+            const TimePoint now = Start + i * milliseconds(5);
+            const bool peak = i >= 2000;
+            // The entry measures its own demand first.
+            if (i >= 1000 && i % 100 == 0) {
+                REQUIRE(policy.receiveDigest(now, Endpoint{2, 7000}, digest));
+            }
+            if (i == 2000 && reconfigures) {
+                std::shared_ptr<QueueRule> added = std::make_shared<QueueRule>();
+                added->name = "added";
+                added->service = "other";
+                QueueConfig changed = config;
+                changed.queues.push_back(std::move(added));
+                policy.setQueues(changed);
+            }
+            for (const std::shared_ptr<const QueueRule> &queue : config.queues) {
+                const bool admitted =
+                    policy.decide(now, *queue, 2e-3, peak ? peakBacklog : quietBacklog) == AdmissionDecision::Admit;
+                refused[queue->name] += peak && !admitted ? 1 : 0;
+            }
+        }
+        INFO((reconfigures ? "with" : "without")
+             << " a change: " << refused["large"] << " and " << refused["surging"] << " of 50");
+        CHECK(refused["large"] == 0);
+        CHECK(refused["surging"] >= 42);
+    }
+}
