The fleet's demand is summed up once per update, not for each digest

Cause: each received digest rebuilt the sum over all digests, in addition to the update every 100 ms. Change: a digest marks the sum as outdated. The next update, the first record or a call of fleet() rebuilds it, so that decisions use a digest up to 0.1 s later. The bound on figures of digests compares one number per entry. Measured: in the new test a digest received within the interval no longer changes the sum before the next update. The run time was not measured.

--- a/src/core/dispatch/demand_ledger.cpp
+++ b/src/core/dispatch/demand_ledger.cpp
@@ -92,6 +92,8 @@
     if (m_firstRecordAt == TimePoint()) {
         m_firstRecordAt = now;
         m_updatedAt = now;
+        // Digests may have arrived before the first request, and the next update takes place after the update interval.
+        mergeFleet(now);
     }
     update(now);
     std::map<QueueKey, OwnQueue>::iterator it = m_own.find(queue);
@@ -184,6 +186,7 @@
 
 void DemandLedger::mergeFleet(TimePoint now)
 {
+    m_fleetOutdated = false;
     m_fleet.clear();
     for (const std::pair<const QueueKey, OwnQueue> &item : m_own) {
         m_fleet[item.first] = Demand{item.second.usual, present(item.second)};
@@ -207,6 +210,9 @@
 const DemandLedger::Demands &DemandLedger::fleet(TimePoint now)
 {
     update(now);
+    if (m_fleetOutdated) {
+        mergeFleet(now);
+    }
     return m_fleet;
 }
 
@@ -222,9 +228,7 @@
         if (digest.first == from || now - digest.second.receivedAt > DigestRetention) {
             continue;
         }
-        for (const QueueDemand &demand : digest.second.demands) {
-            largest = std::max({largest, demand.usualCpuMilli, demand.presentCpuMilli});
-        }
+        largest = std::max(largest, digest.second.largest);
     }
     return largest > 0.0 ? std::min(MaxRatioToOthers * std::max(largest, MinLargestOfOthers), MaxCpuMilli) : MaxCpuMilli;
 }
@@ -243,11 +247,12 @@
             continue;
         }
         taken.demands.push_back(demand);
+        taken.largest = std::max({taken.largest, demand.usualCpuMilli, demand.presentCpuMilli});
     }
     const bool known = m_digests.count(from) > 0;
     if (!taken.demands.empty() && (known || m_digests.size() < MaxPeers)) {
         m_digests[from] = std::move(taken);
-        mergeFleet(now);
+        m_fleetOutdated = true;
     }
     return m_malformedFigures == malformedBefore;
 }
--- a/src/core/dispatch/demand_ledger.h
+++ b/src/core/dispatch/demand_ledger.h
@@ -58,7 +58,8 @@
 
     /// Demand of the fleet. At most 0.1 s old as far as it is measured here.
     const Demands &fleet(TimePoint now);
-    /// The same as of the last call of fleet() or digest().
+    /// The same as of the last update, with the digests that had been received by then. Calls of record(), digest() and fleet()
+    /// update it after 0.1 s.
     const Demands &lastFleet() const noexcept
     {
         return m_fleet;
@@ -82,6 +83,7 @@
     {
         TimePoint receivedAt;
         std::vector<QueueDemand> demands;
+        double largest = 0; ///< Largest figure of `demands`.
     };
 
     /// Whether this entry has measured its own demand for long enough.
@@ -103,6 +105,7 @@
     std::map<QueueKey, OwnQueue> m_own;
     std::map<Endpoint, PeerDigest> m_digests;
     Demands m_fleet;
+    bool m_fleetOutdated = false; ///< A digest has been received since m_fleet was computed.
     TimePoint m_firstRecordAt; ///< Zero before the first record.
     TimePoint m_evictedAt; ///< Zero before the first eviction of a queue.
     TimePoint m_updatedAt;
--- a/tests/demand_ledger_tests.cpp
+++ b/tests/demand_ledger_tests.cpp
@@ -213,3 +213,18 @@
     REQUIRE(own.receive(Start + milliseconds(2500), wrong, {QueueDemand{A, 20e3, 20e3}}));
     REQUIRE(own.fleet(Start + milliseconds(2500)).at(A).usual == Approx(20));
 }
+
+TEST_CASE("Digests are added to the fleet's demand in steps of the update interval")
+{
+    // Guards against a sum over all digests for each one that is received.
+    DemandLedger ledger;
+    REQUIRE(ledger.receive(Start, Peer, {QueueDemand{B, 5e3, 5e3}}));
+    // An entry that has just started decides by the digests from its first job on.
+    ledger.record(Start, A, 0.1);
+    REQUIRE(ledger.lastFleet().at(B).present == Approx(5));
+    REQUIRE(ledger.receive(Start + milliseconds(10), Peer, {QueueDemand{B, 7e3, 7e3}}));
+    ledger.record(Start + milliseconds(20), A, 0.1);
+    REQUIRE(ledger.lastFleet().at(B).present == Approx(5));
+    ledger.record(Start + milliseconds(100), A, 0.1);
+    REQUIRE(ledger.lastFleet().at(B).present == Approx(7));
+}
