--- a/src/core/dispatch/demand_ledger.cpp
+++ b/src/core/dispatch/demand_ledger.cpp
@@ -34,9 +34,16 @@
 constexpr double MinLearnedShare = 0.1;
 /// Queues are removed once their demand is below this, in cores.
 constexpr double NegligibleDemand = 1e-3;
-/// Far above the demand of any fleet; keeps sums finite.
-constexpr double MaxCpuMilli = 1e12;
 constexpr double MilliPerCore = 1e3;
+/// Largest figure of a digest as a multiple of the largest one of the other digests and the own demand. Entries of one fleet
+/// differ by a factor of 6 in their cores, and a burst adds a factor of 2.6. A larger figure would outweigh the demand of the
+/// whole fleet, so that the usual demand would never seem to be exceeded.
+constexpr double MaxRatioToOthers = 20.0;
+/// The largest figure of the others counts as at least this much, in millicores, so that an entry that receives hardly any jobs
+/// accepts the digests of busy ones.
+constexpr double MinLargestOfOthers = 5.0 * MilliPerCore;
+/// Largest figure while there is no other demand to compare with; above the cores of any fleet.
+constexpr double MaxCpuMilli = 1e6 * MilliPerCore;
 /// Change of a queue's present demand, as a fraction of the total one, that the other entries learn of with the next heartbeat. A
 /// burst of 1.8 times a queue with a quarter of the demand exceeds it in half a second.
 constexpr double MaxUnreportedChange = 0.05;
@@ -47,9 +54,9 @@
     return std::chrono::duration<double>(duration).count();
 }
 
-bool isValid(double cpuMilli)
+bool isValid(double cpuMilli, double maximum)
 {
-    return std::isfinite(cpuMilli) && cpuMilli >= 0.0 && cpuMilli <= MaxCpuMilli;
+    return std::isfinite(cpuMilli) && cpuMilli >= 0.0 && cpuMilli <= maximum;
 }
 
 } // namespace
@@ -61,6 +68,10 @@
 
 bool DemandLedger::isMeasured(TimePoint now) const
 {
+    // A queue that comes back after its eviction would seem to surge with all its demand until its usual demand is learned again.
+    if (m_evictedAt != TimePoint() && secondsOf(now - m_evictedAt) < UsualSeconds) {
+        return false;
+    }
     return measuresUsualDemand(now)
         || std::any_of(m_digests.begin(), m_digests.end(), [now](const std::pair<const Endpoint, PeerDigest> &digest) {
                return now - digest.second.receivedAt <= DigestRetention;
@@ -81,11 +92,14 @@
     if (m_firstRecordAt == TimePoint()) {
         m_firstRecordAt = now;
         m_updatedAt = now;
+        // Digests may have arrived before the first request, and the next update takes place after the update interval.
+        mergeFleet(now);
     }
     update(now);
     std::map<QueueKey, OwnQueue>::iterator it = m_own.find(queue);
     if (it == m_own.end()) {
         if (m_own.size() >= MaxOwnQueues) {
+            m_evictedAt = now;
             m_own.erase(
                 std::min_element(m_own.begin(), m_own.end(),
                                  [](const std::pair<const QueueKey, OwnQueue> &a, const std::pair<const QueueKey, OwnQueue> &b) {
@@ -172,6 +186,7 @@
 
 void DemandLedger::mergeFleet(TimePoint now)
 {
+    m_fleetOutdated = false;
     m_fleet.clear();
     for (const std::pair<const QueueKey, OwnQueue> &item : m_own) {
         m_fleet[item.first] = Demand{item.second.usual, present(item.second)};
@@ -195,27 +210,49 @@
 const DemandLedger::Demands &DemandLedger::fleet(TimePoint now)
 {
     update(now);
+    if (m_fleetOutdated) {
+        mergeFleet(now);
+    }
     return m_fleet;
 }
 
+double DemandLedger::maxCpuMilliFrom(TimePoint now, const Endpoint &from) const
+{
+    double largest = 0;
+    if (measuresUsualDemand(now)) {
+        for (const std::pair<const QueueKey, OwnQueue> &item : m_own) {
+            largest = std::max({largest, item.second.usual * MilliPerCore, present(item.second) * MilliPerCore});
+        }
+    }
+    for (const std::pair<const Endpoint, PeerDigest> &digest : m_digests) {
+        if (digest.first == from || now - digest.second.receivedAt > DigestRetention) {
+            continue;
+        }
+        largest = std::max(largest, digest.second.largest);
+    }
+    return largest > 0.0 ? std::min(MaxRatioToOthers * std::max(largest, MinLargestOfOthers), MaxCpuMilli) : MaxCpuMilli;
+}
+
 bool DemandLedger::receive(TimePoint now, const Endpoint &from, const std::vector<QueueDemand> &digest)
 {
     const std::uint64_t malformedBefore = m_malformedFigures;
     PeerDigest taken;
     taken.receivedAt = now;
     std::set<QueueKey> seen;
+    const double maximum = maxCpuMilliFrom(now, from);
     for (const QueueDemand &demand : digest) {
-        const bool valid = isValid(demand.usualCpuMilli) && isValid(demand.presentCpuMilli);
+        const bool valid = isValid(demand.usualCpuMilli, maximum) && isValid(demand.presentCpuMilli, maximum);
         if (!valid || taken.demands.size() >= MaxDigestQueues || !seen.insert(demand.queue).second) {
             ++m_malformedFigures;
             continue;
         }
         taken.demands.push_back(demand);
+        taken.largest = std::max({taken.largest, demand.usualCpuMilli, demand.presentCpuMilli});
     }
     const bool known = m_digests.count(from) > 0;
     if (!taken.demands.empty() && (known || m_digests.size() < MaxPeers)) {
         m_digests[from] = std::move(taken);
-        mergeFleet(now);
+        m_fleetOutdated = true;
     }
     return m_malformedFigures == malformedBefore;
 }
--- a/src/core/dispatch/demand_ledger.h
+++ b/src/core/dispatch/demand_ledger.h
@@ -28,7 +28,7 @@
 
     /// Entries of a digest; the largest demands are sent.
     static constexpr std::size_t MaxDigestQueues = 16;
-    /// Queues measured here. The one with the least demand is replaced.
+    /// Queues measured here. The one with the least demand is evicted for a new one.
     static constexpr std::size_t MaxOwnQueues = 64;
     /// Queues of the whole fleet. Further ones in digests are ignored.
     static constexpr std::size_t MaxFleetQueues = 256;
@@ -39,8 +39,8 @@
     /// Slows the learning of the usual demand for some time. Called while the backlog requires refusals.
     void slowLearning(TimePoint now);
 
-    /// Takes over the digest of another entry in place of its former one. Figures that can't be right are ignored and counted.
-    /// Returns whether all figures were valid.
+    /// Takes over the digest of another entry in place of its former one. Figures that can't be right are ignored and counted,
+    /// among them those far above the own demand and all figures of the others. Returns whether all figures were valid.
     bool receive(TimePoint now, const Endpoint &from, const std::vector<QueueDemand> &digest);
 
     struct Digest
@@ -52,12 +52,14 @@
 
     Digest digest(TimePoint now);
 
-    /// Whether the usual demand is known: measured here for some seconds, or reported by another entry.
+    /// Whether the usual demand is known: measured here for some seconds, or reported by another entry. False while there are
+    /// more queues than are measured here, as the usual demand of an evicted queue is lost.
     bool isMeasured(TimePoint now) const;
 
     /// Demand of the fleet. At most 0.1 s old as far as it is measured here.
     const Demands &fleet(TimePoint now);
-    /// The same as of the last call of fleet() or digest().
+    /// The same as of the last update, with the digests that had been received by then. Calls of record(), digest() and fleet()
+    /// update it after 0.1 s.
     const Demands &lastFleet() const noexcept
     {
         return m_fleet;
@@ -81,6 +83,7 @@
     {
         TimePoint receivedAt;
         std::vector<QueueDemand> demands;
+        double largest = 0; ///< Largest figure of `demands`.
     };
 
     /// Whether this entry has measured its own demand for long enough.
@@ -90,6 +93,8 @@
     /// Decays the demands and learns the usual ones, in steps of at least the update interval.
     void update(TimePoint now);
     void mergeFleet(TimePoint now);
+    /// Largest figure that a digest of this entry may contain, in view of the own demand and the digests of the others.
+    double maxCpuMilliFrom(TimePoint now, const Endpoint &from) const;
     /// Sets m_changedAt if the present demand differs much from that at m_changedAt.
     void detectChange(TimePoint now);
     /// Mean demand of the other entries; empty without digests.
@@ -100,7 +105,9 @@
     std::map<QueueKey, OwnQueue> m_own;
     std::map<Endpoint, PeerDigest> m_digests;
     Demands m_fleet;
+    bool m_fleetOutdated = false; ///< A digest has been received since m_fleet was computed.
     TimePoint m_firstRecordAt; ///< Zero before the first record.
+    TimePoint m_evictedAt; ///< Zero before the first eviction of a queue.
     TimePoint m_updatedAt;
     TimePoint m_slowUntil;
     std::map<QueueKey, double> m_presentAtChange; ///< By queue, in cores.
--- a/tests/admission_tests.cpp
+++ b/tests/admission_tests.cpp
@@ -496,6 +496,12 @@
         m_digest.push_back(QueueDemand{queueKey(name), usualCores * 1e3, presentCores * 1e3});
     }
 
+    /// Makes a further entry report this demand.
+    void addWrongDigest(const std::string &name, double usualCores, double presentCores)
+    {
+        m_wrongDigest.push_back(QueueDemand{queueKey(name), usualCores * 1e3, presentCores * 1e3});
+    }
+
     /// Fraction that is refused of each queue's jobs if this fraction of the less urgent work has to be refused.
     std::map<std::string, double> refused(double fraction, std::map<std::string, double> weights = {}) const
     {
@@ -513,6 +519,7 @@
         for (int i = -2 * rounds; i < rounds; ++i, now += milliseconds(5)) {
             if (i >= -rounds && i % 100 == 0) {
                 REQUIRE(policy.receiveDigest(now, Endpoint{2, 7000}, m_digest));
+                CHECK(policy.receiveDigest(now, Endpoint{3, 7000}, m_wrongDigest) == m_wrongDigest.empty());
             }
             for (const std::shared_ptr<const QueueRule> &queue : m_config.queues) {
                 const bool refused = policy.decide(now, *queue, ownWork, backlog) != AdmissionDecision::Admit;
@@ -525,6 +532,7 @@
 private:
     QueueConfig m_config;
     std::vector<QueueDemand> m_digest;
+    std::vector<QueueDemand> m_wrongDigest;
 };
 
 } // namespace
@@ -601,3 +609,105 @@
     CHECK(refused.at("steady") == Approx(1.0).margin(0.01));
     CHECK(refused.at("surging") == Approx(1.0).margin(0.01));
 }
+
+TEST_CASE("With more queues than the ledger keeps, the former policy decides")
+{
+    // Guards against queues that are refused as a surge because the ledger has evicted their usual demand.
+    constexpr int Queues = 120;
+    QueueConfig config;
+    for (int i = 0; i < Queues; ++i) {
+        std::shared_ptr<QueueRule> rule = std::make_shared<QueueRule>();
+        rule->name = "queue-" + std::to_string(i);
+        rule->service = "svc";
+        rule->urgency = 1;
+        config.queues.push_back(std::move(rule));
+    }
+    UsualShareAdmission usualShare({});
+    usualShare.setQueues(config);
+    LargestFirstAdmission largestFirst;
+    std::map<AdmissionDecision, int> decisions;
+    std::map<AdmissionDecision, int> formerDecisions;
+    int different = 0;
+    // Each queue submits ten jobs a second, and the last one forty from the tenth second on.
+    for (int step = 0; step < 160; ++step) {
+        const TimePoint now = Start + step * milliseconds(100);
+        const bool burst = step >= 100;
+        for (int i = 0; i < Queues; ++i) {
+            for (int job = 0; job < (burst && i == Queues - 1 ? 4 : 1); ++job) {
+                const QueueRule &queue = *config.queues[static_cast<std::size_t>(i)];
+                const AdmissionDecision decision = usualShare.decide(now, queue, 1.0, burst ? 0.45 : 0.0);
+                const AdmissionDecision former = largestFirst.decide(now, queue, 1.0, burst ? 0.45 : 0.0);
+                ++decisions[decision];
+                ++formerDecisions[former];
+                different += decision != former ? 1 : 0;
+            }
+        }
+    }
+    INFO(decisions[AdmissionDecision::Shed] << " shed and " << decisions[AdmissionDecision::RefuseSurge]
+                                            << " refused as a surge; former policy: " << formerDecisions[AdmissionDecision::Shed]
+                                            << " shed");
+    CHECK(formerDecisions[AdmissionDecision::Shed] > 0);
+    CHECK(different == 0);
+}
+
+TEST_CASE("A wrong figure of one entry does not hide a surge")
+{
+    // Guards against a share that seems unused and is lent to all surges.
+    RefusalProbe probe;
+    probe.addQueue("steady", 1, 50, 50);
+    probe.addQueue("surging", 1, 20, 50);
+    const std::map<std::string, double> expected = probe.refused(0.2);
+    probe.addWrongDigest("steady", 1e6, 0);
+    const std::map<std::string, double> refused = probe.refused(0.2);
+    CHECK(refused == expected);
+    CHECK(refused.at("steady") == 0.0);
+    CHECK(refused.at("surging") * 50 == Approx(20).epsilon(0.05));
+}
+
+TEST_CASE("A change of the configuration does not turn a peak of the backlog into cuts of the largest queue")
+{
+    // Guards against a mean shed fraction that is lost with a new configuration and then starts at the peak.
+    QueueConfig config;
+    for (const char *name : {"large", "surging"}) {
+        std::shared_ptr<QueueRule> rule = std::make_shared<QueueRule>();
+        rule->name = name;
+        rule->service = "svc";
+        rule->urgency = 1;
+        config.queues.push_back(std::move(rule));
+    }
+    const std::vector<QueueDemand> digest{QueueDemand{queueKey("large"), 50e3, 50e3},
+                                          QueueDemand{queueKey("surging"), 10e3, 30e3}};
+    const double quietBacklog = 0.18; // A shed fraction of 0.05.
+    const double peakBacklog = 0.36; // A shed fraction of 0.35: more than the surge, less than the demand of its queue.
+    std::map<std::string, int> refused;
+    for (const bool reconfigures : {false, true}) {
+        UsualShareAdmission policy({});
+        policy.setQueues(config);
+        refused.clear();
+        for (int i = 0; i < 2050; ++i) {
+            const TimePoint now = Start + i * milliseconds(5);
+            const bool peak = i >= 2000;
+            // The entry measures its own demand first.
+            if (i >= 1000 && i % 100 == 0) {
+                REQUIRE(policy.receiveDigest(now, Endpoint{2, 7000}, digest));
+            }
+            if (i == 2000 && reconfigures) {
+                std::shared_ptr<QueueRule> added = std::make_shared<QueueRule>();
+                added->name = "added";
+                added->service = "other";
+                QueueConfig changed = config;
+                changed.queues.push_back(std::move(added));
+                policy.setQueues(changed);
+            }
+            for (const std::shared_ptr<const QueueRule> &queue : config.queues) {
+                const bool admitted =
+                    policy.decide(now, *queue, 2e-3, peak ? peakBacklog : quietBacklog) == AdmissionDecision::Admit;
+                refused[queue->name] += peak && !admitted ? 1 : 0;
+            }
+        }
+        INFO((reconfigures ? "with" : "without")
+             << " a change: " << refused["large"] << " and " << refused["surging"] << " of 50");
+        CHECK(refused["large"] == 0);
+        CHECK(refused["surging"] >= 42);
+    }
+}
--- a/tests/demand_ledger_tests.cpp
+++ b/tests/demand_ledger_tests.cpp
@@ -172,3 +172,59 @@
     load(ledger, A, Start + seconds(15), Start + milliseconds(15'300), 60);
     REQUIRE(ledger.digest(Start + milliseconds(15'300)).changedAt == Start + milliseconds(15'300));
 }
+
+TEST_CASE("The usual demand counts as unknown while there are more queues than the ledger keeps")
+{
+    // Guards against a queue whose usual demand was lost when it was evicted, so that all its demand counts as a surge.
+    DemandLedger ledger;
+    TimePoint now = Start;
+    for (; now < Start + seconds(5); now += milliseconds(100)) {
+        for (std::size_t i = 0; i <= DemandLedger::MaxOwnQueues; ++i) {
+            ledger.record(now, queueKey("queue-" + std::to_string(i)), 1.0);
+        }
+    }
+    const TimePoint evictedAt = now - milliseconds(100);
+    REQUIRE(ledger.receive(now, Peer, {QueueDemand{A, 1e3, 1e3}}));
+    REQUIRE_FALSE(ledger.isMeasured(now));
+    REQUIRE_FALSE(ledger.isMeasured(evictedAt + milliseconds(19'900)));
+    REQUIRE(ledger.isMeasured(evictedAt + milliseconds(20'000)));
+}
+
+TEST_CASE("Figures far above the demand of all other entries are ignored and counted")
+{
+    // Guards against one wrong figure that outweighs the demand of the whole fleet.
+    DemandLedger ledger;
+    // Without another demand to compare with, the first digest is used, as by an entry that has just started.
+    REQUIRE(ledger.receive(Start, Peer, {QueueDemand{A, 150e3, 300e3}}));
+    const Endpoint wrong{3, 7000};
+    REQUIRE_FALSE(ledger.receive(Start, wrong, {QueueDemand{A, 1e8, 0}, QueueDemand{B, 0, 1e8}}));
+    REQUIRE(ledger.malformedFigures() == 2);
+    REQUIRE(ledger.fleet(Start).at(A).usual == Approx(150));
+    REQUIRE(ledger.fleet(Start).count(B) == 0);
+    // Entries differ in size, so a demand of several times that of the others is valid.
+    REQUIRE(ledger.receive(Start, wrong, {QueueDemand{A, 1500e3, 3000e3}}));
+    REQUIRE(ledger.fleet(Start).at(A).usual == Approx(1650));
+
+    // The former digest of the same entry does not make its next one valid, and the own demand counts once it is known.
+    DemandLedger own;
+    REQUIRE(own.receive(Start, wrong, {QueueDemand{A, 1e8, 1e8}}));
+    load(own, B, Start, Start + milliseconds(2500), 20);
+    REQUIRE_FALSE(own.receive(Start + milliseconds(2500), wrong, {QueueDemand{A, 1e8, 1e8}}));
+    REQUIRE(own.receive(Start + milliseconds(2500), wrong, {QueueDemand{A, 20e3, 20e3}}));
+    REQUIRE(own.fleet(Start + milliseconds(2500)).at(A).usual == Approx(20));
+}
+
+TEST_CASE("Digests are added to the fleet's demand in steps of the update interval")
+{
+    // Guards against a sum over all digests for each one that is received.
+    DemandLedger ledger;
+    REQUIRE(ledger.receive(Start, Peer, {QueueDemand{B, 5e3, 5e3}}));
+    // An entry that has just started decides by the digests from its first job on.
+    ledger.record(Start, A, 0.1);
+    REQUIRE(ledger.lastFleet().at(B).present == Approx(5));
+    REQUIRE(ledger.receive(Start + milliseconds(10), Peer, {QueueDemand{B, 7e3, 7e3}}));
+    ledger.record(Start + milliseconds(20), A, 0.1);
+    REQUIRE(ledger.lastFleet().at(B).present == Approx(5));
+    ledger.record(Start + milliseconds(100), A, 0.1);
+    REQUIRE(ledger.lastFleet().at(B).present == Approx(7));
+}
