Placement: the weight of waits is not overhead of a server near the data

The weight of 1.5 on the expected wait left half of the wait in the overhead that DataLocality compares, and from about 200 ms on a busy server near the data was taken for one that fails runs or is on probation. Tasks of 900 ms ran elsewhere at twice the run time instead of waiting 250 ms.

The overhead is now the cost without the weighted wait and the run. As a result, DataLocality compares near and remote servers by their unweighted waits; among servers of one group the weight applies as before.

--- a/src/core/dispatch/placement.cpp
+++ b/src/core/dispatch/placement.cpp
@@ -91,13 +91,18 @@
     return found.empty() ? suspects : found;
 }
 
+/// Cost of the expected wait, in microseconds.
+double waitCost(Duration wait, std::uint32_t urgency)
+{
+    return (urgency == MostUrgent ? 1.0 : WaitCostFactor) * static_cast<double>(wait.count());
+}
+
 /// Cost of assigning a task to a candidate, in microseconds.
-double cost(const Candidate &candidate, Duration wait, std::uint32_t urgency)
+double cost(const Candidate &candidate, double weightedWait)
 {
     const double capacity = static_cast<double>(std::max<std::int64_t>(candidate.agent->load.capacity.cpuMilli, 1));
     const double used = 1.0 - static_cast<double>(candidate.free.cpuMilli) / capacity;
-    const double waitFactor = urgency == MostUrgent ? 1.0 : WaitCostFactor;
-    double total = candidate.fixedCost + waitFactor * static_cast<double>(wait.count()) + LoadCostUs * std::max(used, 0.0);
+    double total = candidate.fixedCost + weightedWait + LoadCostUs * std::max(used, 0.0);
     total += candidate.tasks > 0 ? 0.0 : static_cast<double>(AdditionalServerCost.count());
     total += candidate.tasks < candidate.runsAllowed ? 0.0 : ProbationCostUs;
     return total;
@@ -109,11 +114,12 @@
     Candidate *candidate = nullptr;
     double cost = 0;
     Duration wait{0};
+    double weightedWait = 0; ///< The part of the cost that is due to the wait.
 
-    void consider(Candidate &other, double otherCost, Duration otherWait)
+    void consider(Candidate &other, double otherCost, Duration otherWait, double otherWeightedWait)
     {
         if (candidate == nullptr || otherCost < cost) {
-            *this = Best{&other, otherCost, otherWait};
+            *this = Best{&other, otherCost, otherWait, otherWeightedWait};
         }
     }
 
@@ -122,8 +128,9 @@
         if (candidate == nullptr) {
             return std::nullopt;
         }
-        const Duration total(static_cast<std::int64_t>(cost));
-        return DataLocality::Option{wait, candidate->run, total - wait - candidate->run};
+        // The additional weight of the wait is not overhead: overhead beyond a limit counts as a sign of a faulty server.
+        const Duration overhead = Duration(static_cast<std::int64_t>(cost - weightedWait)) - candidate->run;
+        return DataLocality::Option{wait, candidate->run, overhead};
     }
 };
 
@@ -156,7 +163,8 @@
             }
             const Duration wait = candidate.agent->expectedWait(request.need, candidate.free);
             Best &group = decidesLocality && candidate.remoteData ? remote : best;
-            group.consider(candidate, cost(candidate, wait, request.urgency), wait);
+            const double weightedWait = waitCost(wait, request.urgency);
+            group.consider(candidate, cost(candidate, weightedWait), wait, weightedWait);
         }
         DataLocality::Choice choice;
         if (decidesLocality) {
--- a/tests/placement_tests.cpp
+++ b/tests/placement_tests.cpp
@@ -294,3 +294,26 @@
     request.preferredRack.clear();
     REQUIRE(EarliestFinish().place(fleet, request, now()).at(0).waitWithin == Duration(0));
 }
+
+TEST_CASE("The weight of waits does not make a busy server near the data count as faulty")
+{
+    // Guards against counting a part of the wait as overhead: from 210 ms on, the server seemed to fail runs.
+    FleetView fleet = makeFleet(4);
+    for (const std::uint32_t i : {1U, 2U}) {
+        AgentView &near = *fleet.find(Endpoint{i, 7000});
+        near.load.free = Resources{0, 1000, 0};
+        near.load.runningWork = 16000.0 * 500000;
+    }
+    DataLocality locality;
+    PlacementRequest request = ::request(1);
+    request.preferredRack = "a";
+    request.remoteDataFactor = 2.0;
+    request.expectedRun = milliseconds(900);
+    request.timeToObjective = seconds(10);
+    request.urgency = 2;
+    request.locality = &locality;
+    const Placement place = EarliestFinish().place(fleet, request, now()).at(0);
+    REQUIRE_FALSE(place.remoteData);
+    REQUIRE(place.wait == milliseconds(250));
+    REQUIRE(place.waitWithin > place.wait);
+}
