Ages of sibling tasks are compared as on the run's own server

The age that other tasks of a step, or earlier runs of a task, had reached was divided by the slowness and the data factor of their servers, and then compared with the unscaled age of the run and with an expected run time that contains the data factor. Where tasks take three times as long, a sibling of the same age seemed to have reached a third of it, and both runs were restarted.

These ages are now converted to the speed and the distance from the data of the run's server, and divided by its slowness where they are compared with the expected run time.

--- a/src/core/dispatch/entry_supervision.cpp
+++ b/src/core/dispatch/entry_supervision.cpp
@@ -102,16 +102,16 @@
         evidence.laterRunEnded = it->second.ordinaryRunStartedAt >= startedAt
             && it->second.ordinaryRunEndedAt >= startedAt + scaled(evidence.expected, evidence.slowness);
     }
+    const double ownFactor = runTimeFactor(now, job, step, agent);
     for (const std::pair<const Endpoint, Duration> &item : longest) {
         if (item.first != agent) {
-            const double factor = runTimeFactor(now, job, step, item.first);
-            evidence.ageElsewhere = std::max(evidence.ageElsewhere, scaled(item.second, 1.0 / factor));
+            const double factor = ownFactor / runTimeFactor(now, job, step, item.first);
+            evidence.ageElsewhere = std::max(evidence.ageElsewhere, scaled(item.second, factor));
         }
     }
     const std::map<Endpoint, double>::const_iterator others = m_overdueLogProbability.find(agent);
     if (others != m_overdueLogProbability.end()) {
-        const double own =
-            distributionOf(job).probabilityLonger(ratio(evidence.age, step.expectedRun) / runTimeFactor(now, job, step, agent));
+        const double own = distributionOf(job).probabilityLonger(ratio(evidence.age, step.expectedRun) / ownFactor);
         evidence.otherRunsProbability = std::min(std::exp(others->second) / (own < OverdueProbability ? own : 1.0), 1.0);
     }
     return evidence;
@@ -137,12 +137,13 @@
             longest = longestAges(now, step);
         }
         RunEvidence evidence = evidenceFor(now, job, step, task.agent, task.startedAt, longest);
-        evidence.ageElsewhere = std::max(evidence.ageElsewhere, task.reachedAge);
+        const double factor = runTimeFactor(now, job, step, task.agent);
+        evidence.ageElsewhere = std::max(evidence.ageElsewhere, scaled(task.reachedAge, factor));
         const RestartDecision decision = decideRestart(evidence, distributionOf(job));
         if (!decision.restart || now + decision.restartTime > job.clientDeadline) {
             continue;
         }
-        task.reachedAge = std::max(task.reachedAge, scaled(evidence.age, 1.0 / runTimeFactor(now, job, step, task.agent)));
+        task.reachedAge = std::max(task.reachedAge, scaled(evidence.age, 1.0 / factor));
         ++m_counters.runsRestarted;
         m_log.write(LogLevel::Info, "run-restarted",
                     "job=" + idText(job.id) + " task=" + std::to_string(stepIndex) + "." + std::to_string(k) + " agent="
--- a/src/core/dispatch/job.h
+++ b/src/core/dispatch/job.h
@@ -30,7 +30,7 @@
     TimePoint startedAt;
     Duration runTime{0}; ///< Of the completed run.
     std::vector<Endpoint> avoid; ///< Agents on which a run of it did not complete.
-    /// Longest time that a stopped run had lasted, on a server of ordinary speed.
+    /// Longest time that a stopped run had lasted, as on a server of ordinary speed near the data.
     Duration reachedAge{0};
     bool nearData = false; ///< Sent to a server near its data by DataLocality.
     bool handedBack = false; ///< A run of it has waited near its data until the limit.
--- a/src/core/dispatch/restart_decision.cpp
+++ b/src/core/dispatch/restart_decision.cpp
@@ -63,7 +63,7 @@
         taskLong = distribution.probabilityLonger(age);
         if (ratio(run.ageElsewhere, run.age) > EquallyLateFactor) {
             // On the other servers, an ordinary task would have ended by then.
-            slow *= distribution.probabilityLonger(ratio(run.ageElsewhere, run.expected));
+            slow *= distribution.probabilityLonger(ratio(run.ageElsewhere, run.expected) / run.slowness);
         }
     }
     return taskLong / std::max(taskLong + slow, 1e-9);
--- a/src/core/dispatch/restart_decision.h
+++ b/src/core/dispatch/restart_decision.h
@@ -20,7 +20,8 @@
     bool laterRunEnded = false;
     /// Probability of the ages of the overdue runs of other jobs on this server if it is not slow.
     double otherRunsProbability = 1.0;
-    /// The longest age that tasks of the same step, or earlier runs of this task, have reached on other servers.
+    /// The longest age that tasks of the same step, or earlier runs of this task, have reached on other servers, converted to the
+    /// speed and the distance from the data of this run's server, so that it compares with `age`.
     Duration ageElsewhere{0};
 };
 
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -1911,6 +1911,115 @@
     REQUIRE(fixture.entry.counters().discardedMilliCoreMs - discardedBefore == 200 * 1000);
 }
 
+namespace
+{
+
+/// An entry with an agent on rack "r1" and one on "r2". Tasks take three times as long away from their data.
+struct RemoteRunFixture : RackFixture
+{
+    explicit RemoteRunFixture(bool withLongJobs)
+        : remoteEntry(remoteSettings(), links, clients, log, now)
+    {
+        std::shared_ptr<QueueRule> rule = std::make_shared<QueueRule>(*queue);
+        rule->latencyObjective = seconds(5);
+        queue = rule;
+        ordersSeen = 1000;
+        reportFrom(Agent, {});
+        reportFrom(OtherAgent, {});
+        for (std::uint64_t n = 1; n <= 70; ++n) {
+            const JobId job = numberedJob(n);
+            submitTasks(n, job, "r1", 1);
+            reportFrom(Agent, {eventOf(job, RunEvent::Kind::Started)});
+            advance(milliseconds(30));
+            reportFrom(Agent, {eventOf(job, RunEvent::Kind::Ended, milliseconds(withLongJobs && n % 30 == 0 ? 700 : 100))});
+        }
+    }
+
+    static EntrySettings remoteSettings()
+    {
+        EntrySettings result = settings();
+        result.remoteDataFactor = 3.0;
+        return result;
+    }
+
+    void submitTasks(std::uint64_t client, const JobId &id, const std::string &rack, std::uint32_t tasks)
+    {
+        std::shared_ptr<dispatch::JobSpec> spec = std::make_shared<dispatch::JobSpec>(*makeSpec(milliseconds(100)));
+        spec->steps[0].preferredRack = rack;
+        spec->steps[0].count = tasks;
+        spec->steps[0].maxPerServer = 1;
+        remoteEntry.submit(now, ClientTag(client), queue, id, spec, seconds(20));
+    }
+
+    void reportFrom(const ProcessId &agent, std::vector<RunEvent> events)
+    {
+        AgentReport message = makeReport();
+        message.load.labels = {agent == Agent ? "r1" : "r2"};
+        std::uint64_t &last = m_lastEvents[agent.endpoint];
+        message.oldestEvent = events.empty() ? 0 : last + 1;
+        for (RunEvent &event : events) {
+            event.number = ++last;
+        }
+        message.events = std::move(events);
+        dispatch::Envelope envelope = envelopeFrom(agent, std::move(message));
+        envelope.fromEntry = false;
+        remoteEntry.onMessage(now, envelope);
+    }
+
+    void advance(Duration length)
+    {
+        const TimePoint end = now + length;
+        while (now < end) {
+            now += milliseconds(15);
+            reportFrom(Agent, {});
+            reportFrom(OtherAgent, {});
+            remoteEntry.onTick(now);
+        }
+    }
+
+    /// Reports the runs of the latest order to an agent as started.
+    void startLatest(const ProcessId &agent)
+    {
+        const std::vector<StartOrder> orders = links.messagesTo<StartOrder>(agent.endpoint);
+        INFO("agent " << toString(agent));
+        REQUIRE_FALSE(orders.empty());
+        std::vector<RunEvent> events;
+        for (const OrderedRun &run : orders.back().runs) {
+            RunEvent event = eventOf(orders.back().job, RunEvent::Kind::Started);
+            event.run.task.index = run.index;
+            event.run.run = run.run;
+            events.push_back(event);
+        }
+        reportFrom(agent, events);
+    }
+
+    EntryDispatch remoteEntry;
+
+private:
+    std::map<Endpoint, std::uint64_t> m_lastEvents;
+};
+
+} // namespace
+
+TEST_CASE("Tasks of a step that are equally late on two servers away from their data are not restarted")
+{
+    // Guards against comparing an age as near the data with one as measured: a sibling of the same age on a server where tasks
+    // take three times as long seemed to have reached a third of it, and both were restarted. In this queue without long jobs,
+    // a single late run is restarted.
+    for (const bool sibling : {true, false}) {
+        RemoteRunFixture fixture(false);
+        const std::uint64_t restartedBefore = fixture.remoteEntry.counters().runsRestarted;
+        fixture.submitTasks(1000, Job1, "r3", 2);
+        fixture.startLatest(Agent);
+        if (sibling) {
+            fixture.startLatest(RackFixture::OtherAgent);
+        }
+        fixture.advance(milliseconds(1700));
+        INFO("sibling " << sibling);
+        CHECK(fixture.remoteEntry.counters().runsRestarted - restartedBefore == (sibling ? 0 : 1));
+    }
+}
+
 TEST_CASE("Orders carry the run time on an ordinary server, and an entry that has just started uses the reported speed")
 {
     EntryFixture fixture;
--- a/tests/run_time_tests.cpp
+++ b/tests/run_time_tests.cpp
@@ -1,3 +1,4 @@
+#include "core/dispatch/format.h"
 #include "core/dispatch/restart_decision.h"
 #include "core/dispatch/server_speed.h"
 
@@ -183,6 +184,23 @@
     }
 }
 
+TEST_CASE("On a server of another speed, equally late tasks of the step count as on an ordinary one")
+{
+    // Guards against dividing the age of the run by the slowness of its server, but not the age of the other tasks.
+    const RunTimeDistribution distribution = makeDistribution(0.03);
+    RunEvidence run = makeRun(milliseconds(200));
+    run.otherRunsProbability = 0.03;
+    run.ageElsewhere = milliseconds(180);
+    const double ordinary = longTaskProbability(run, distribution);
+    for (const double slowness : {0.6, 1.5, 3.0}) {
+        run.slowness = slowness;
+        run.age = scaled(milliseconds(200), slowness);
+        run.ageElsewhere = scaled(milliseconds(180), slowness);
+        INFO("slowness " << slowness);
+        CHECK(longTaskProbability(run, distribution) == Approx(ordinary).epsilon(0.001));
+    }
+}
+
 TEST_CASE("Tasks of the step that have completed elsewhere in less time show that a late run's server is slow")
 {
     RunEvidence run = makeRun(milliseconds(230));
