Data locality: a full fleet does not keep a handed back task waiting near its data

The rule for a full fleet now does not apply to a task that was handed back and would wait again. If it can be in time only near its data, it still stays there.

--- a/src/core/dispatch/data_locality.cpp
+++ b/src/core/dispatch/data_locality.cpp
@@ -55,11 +55,13 @@
     if (near.overhead > remote.overhead + MaxOverheadDifference) {
         return Choice{false, remote.wait, Duration(0)};
     }
-    const double failed = request.handedBack && near.wait > Duration(0) ? 1.0 : failedShare(now, request.rack);
+    const bool secondWait = request.handedBack && near.wait > Duration(0);
+    const double failed = secondWait ? 1.0 : failedShare(now, request.rack);
     const Duration nearWait = scaledBy(near.wait, WaitMargin);
     const bool nearInTime = nearWait + near.run <= request.timeToObjective;
     const bool remoteInTime = remote.wait + remote.run <= request.timeToObjective;
-    const bool mayRunElsewhere = remoteInTime && request.utilisation <= FullUtilisation;
+    // A task whose wait has failed would wait without a limit, so a full fleet does not keep it near its data.
+    const bool mayRunElsewhere = remoteInTime && (request.utilisation <= FullUtilisation || secondWait);
     if (!mayRunElsewhere) {
         // Handing a task back would not help one that can't be in time elsewhere. While most waits fail, it can't be in time near
         // its data either, unless a server is free.
--- a/tests/data_locality_tests.cpp
+++ b/tests/data_locality_tests.cpp
@@ -137,6 +137,26 @@
     REQUIRE(locality.choose(Now, request).near);
 }
 
+TEST_CASE("While the fleet is full, a task that was handed back does not wait near its data again either")
+{
+    // Guards against a second wait without a limit: the rule for a full fleet also held tasks whose first wait had failed.
+    DataLocality locality;
+    DataLocality::Request request = makeRequest(milliseconds(30), 2.0, seconds(1));
+    request.utilisation = 0.9;
+    REQUIRE(locality.choose(Now, request).near);
+    request.handedBack = true;
+    const DataLocality::Choice choice = locality.choose(Now, request);
+    REQUIRE_FALSE(choice.near);
+    REQUIRE(choice.wait == Duration(0));
+    // A server there that is free is used.
+    request.near->wait = Duration(0);
+    REQUIRE(locality.choose(Now, request).near);
+    // A task that can be in time only near its data stays there.
+    request.near->wait = milliseconds(30);
+    request.timeToObjective = milliseconds(180);
+    REQUIRE(locality.choose(Now, request).near);
+}
+
 TEST_CASE("The number of racks that are remembered is bounded")
 {
     // Clients name the racks of their tasks.
