A lost start order to a server of an evacuated domain is not repeated

Cause: checkRuns repeated every order that may be lost, also to a server whose domain had been evacuated since. An agent that does not know of the evacuation yet would start the run.

Change: the entry sends a stop order instead. The agent records that the run never started, and the task is placed elsewhere.

--- a/src/core/dispatch/entry_runs.cpp
+++ b/src/core/dispatch/entry_runs.cpp
@@ -417,6 +417,12 @@
             if (task.stopSent && now - task.lastRequestAt > StopRetransmissionTimeout) {
                 stopRun(now, job, ref, task);
             } else if (task.phase == TaskState::Phase::Ordered && orderMayBeLost(now, *agent, task)) {
+                if (agent->evacuated) {
+                    // The agent may not know of the evacuation yet and would start the run. After a stop order it records that
+                    // the run never started, so that the task can be placed elsewhere.
+                    stopRun(now, job, ref, task);
+                    continue;
+                }
                 if (!job.answer && giveUpIfUnconfirmed(now, job)) {
                     return;
                 }
--- a/tests/evacuation_tests.cpp
+++ b/tests/evacuation_tests.cpp
@@ -589,6 +589,30 @@
     REQUIRE(fleet.entries[0].count(JobOutcome::Succeeded) == 3);
 }
 
+TEST_CASE("A lost order to an agent of an evacuated domain is not repeated, and its tasks run elsewhere")
+{
+    Fleet fleet({"d0", "d1"});
+    fleet.startAll();
+    // Only the order is lost.
+    fleet.isCut = [](const Endpoint &from, const Endpoint &to) {
+        return from == Endpoint{1, 7000} && to == Endpoint{101, 7000};
+    };
+    // Only longer jobs can still be in time at another server.
+    fleet.submit(0, 3, milliseconds(600));
+    fleet.runFor(Step);
+    fleet.isCut = [](const Endpoint &, const Endpoint &) {
+        return false;
+    };
+    REQUIRE(fleet.startsIn("d1") < 3);
+    fleet.evacuate({"d0"});
+    fleet.runFor(milliseconds(800));
+    REQUIRE(fleet.agents[0]->agent->counters().ordersTaken == 0);
+    REQUIRE(fleet.entries[0].entry->counters().ordersRepeated == 0);
+    REQUIRE(fleet.startsIn("d0") == 0);
+    REQUIRE(fleet.startsIn("d1") == 3);
+    REQUIRE(fleet.entries[0].count(JobOutcome::Succeeded) == 3);
+}
+
 TEST_CASE("A start request that may have begun is repeated during an evacuation, and no other run starts")
 {
     Fleet fleet({"d0", "d1"});
