cuminscale check-config checks a document of the platform

Cause: operators had no means to check a document of the platform before writing it to the store; `check` reads this project's own format. Change: `check-config FILE [--against FILE]` prints the findings of config_check, as text or JSON. It exits with 1 if there are errors and with 2 if a file can't be read.

--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -1,11 +1,12 @@
 #include "cli/commands.h"
 
+#include "cli/check_config.h"
+#include "cli/read_file.h"
 #include "core/config_document.h"
 
 #include <boost/json.hpp>
 
 #include <chrono>
-#include <fstream>
 #include <iostream>
 #include <optional>
 #include <random>
@@ -31,18 +32,6 @@
     return code;
 }
 
-bool readFile(const std::string &path, std::string &text)
-{
-    std::ifstream file(path);
-    if (!file) {
-        return false;
-    }
-    std::ostringstream all;
-    all << file.rdbuf();
-    text = all.str();
-    return true;
-}
-
 json::object parseBody(const std::string &body)
 {
     json::error_code ec;
@@ -305,6 +294,8 @@
 {
     static const std::vector<Command> All{
         {"check", "FILE", "checks a configuration without sending it", check, 1},
+        {"check-config", "FILE", "checks a configuration of the platform; with --against, compares it with that in force",
+         checkConfigFile, 1},
         {"apply", "FILE", "activates a configuration; with --wait, returns once every process reports it", apply, 1},
         {"show", "", "prints the active configuration", show, 0},
         {"status", "", "prints the known processes with their revisions and slots", status, 0},
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -12,7 +12,7 @@
 /// Exit codes; docs/API.md documents them.
 enum ExitCode : int {
     ExitOk = 0,
-    ExitFailed = 1, ///< The job ran and failed.
+    ExitFailed = 1, ///< The job ran and failed. For check-config: the configuration has errors.
     ExitUsage = 2, ///< The command line or an input file is invalid; nothing was sent.
     ExitNotRun = 3, ///< The request was refused; nothing was run or changed.
     ExitUnknown = 4, ///< The outcome is unknown: the request may have been carried out.
@@ -30,6 +30,7 @@
     std::uint64_t baseRevision = 0; ///< apply: revision that the change is based on; see hasBaseRevision.
     bool hasBaseRevision = false; ///< If false, the change is based on the current revision.
     std::string changeId; ///< apply: makes a repeated apply idempotent; empty for a random id.
+    std::string against; ///< check-config: file with the configuration in force; empty for none.
     std::string id; ///< submit: submission id; empty to request a new one.
 };
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -14,6 +14,7 @@
 DEFINE_bool(wait, false, "With apply: wait until every process reports the change.");
 DEFINE_int64(base, -1, "With apply: the revision that the change is based on; by default the current one.");
 DEFINE_string(change, "", "With apply: the id of the change; repeat an apply whose answer was lost with the same id.");
+DEFINE_string(against, "", "With check-config: file with the configuration in force.");
 DEFINE_string(id, "", "With submit: the submission id, to resubmit a job; by default a new one is requested.");
 DECLARE_bool(help);
 
@@ -32,8 +33,9 @@
         line.resize(std::max<std::size_t>(line.size() + 2, 30), ' ');
         text << line << command.help << "\n";
     }
-    text << "\noptions of single commands: apply --wait --base N --change ID; submit --id ID\n"
-         << "exit codes: 0 success, 1 job failed, 2 invalid command line or file, 3 not run, 4 outcome unknown, 5 conflict, 6 "
+    text << "\noptions of single commands: apply --wait --base N --change ID; check-config --against FILE; submit --id ID\n"
+         << "exit codes: 0 success, 1 job failed or configuration has errors, 2 invalid command line or file, 3 not run, 4 "
+            "outcome unknown, 5 conflict, 6 "
             "unreachable\n";
     return text.str();
 }
@@ -90,6 +92,7 @@
     context.hasBaseRevision = FLAGS_base >= 0;
     context.baseRevision = context.hasBaseRevision ? static_cast<std::uint64_t>(FLAGS_base) : 0;
     context.changeId = FLAGS_change;
+    context.against = FLAGS_against;
     context.id = FLAGS_id;
     return it->run(context, arguments);
 }
--- a/tests/platform_tests.cpp
+++ b/tests/platform_tests.cpp
@@ -320,6 +320,22 @@
     }
 }
 
+// Guards against a malformed list of services that is taken for a list without the services of the queues.
+TEST_CASE("The services that a configuration lists are read from names or objects")
+{
+    const std::vector<std::string> expected{"s", "t"};
+    REQUIRE(readServiceNames(R"({"services":["s",{"name":"t","other":1}]})").names == expected);
+    for (const char *text : {"", "[]", "{}", R"({"services":[]})"}) {
+        REQUIRE_FALSE(readServiceNames(text).names);
+        REQUIRE_FALSE(readServiceNames(text).malformed);
+    }
+    for (const char *text :
+         {R"({"services":7})", R"({"services":["s",7]})", R"({"services":[{}]})", R"({"services":[{"name":7}]})"}) {
+        REQUIRE_FALSE(readServiceNames(text).names);
+        REQUIRE(readServiceNames(text).malformed);
+    }
+}
+
 TEST_CASE("Negative numbers in a configuration are replaced by the defaults")
 {
     std::string reason;
