Late tasks of a run's own job don't count as evidence on its server

The probability of the other late runs on a server was the sum over all of them, less the share of the run in question. That share was computed from the run's present age, while the sum has the oldest task of each step as of the last update, and other steps of the same job stayed in it: the later task of a long job was taken to be on a slow server and restarted.

The contributions are now kept by server and job, and those of the run's own job are left out.

Measured: a long job with two parallel steps, the second started 250 ms later, had a run restarted before, and has none now; a late run of another job still counts.

--- a/src/core/dispatch/entry_dispatch.h
+++ b/src/core/dispatch/entry_dispatch.h
@@ -602,9 +602,9 @@
     std::deque<std::pair<TimePoint, JobId>> m_endedOrder; ///< Ended jobs with their end times, oldest first.
     std::map<std::string, RunTimeEstimate> m_estimates; ///< By queue.
     std::map<std::string, RunTimeDistribution> m_distributions; ///< By queue.
-    /// Logarithm of the probability that all overdue runs of this entry on a server belong to long tasks, as of
-    /// m_overdueUpdatedAt.
-    std::map<Endpoint, double> m_overdueLogProbability;
+    /// Logarithm of the probability that the overdue runs of this entry on a server belong to long tasks, by server and job, as
+    /// of m_overdueUpdatedAt. By job, as late tasks of the same job don't show that its server is slow.
+    std::map<Endpoint, std::map<JobId, double>> m_overdueLogProbability;
     ConfigBlob m_config;
     std::shared_ptr<const QueueConfig> m_queues; ///< Null until it is set.
     ConfigFetch m_configFetch;
--- a/src/core/dispatch/entry_supervision.cpp
+++ b/src/core/dispatch/entry_supervision.cpp
@@ -109,10 +109,13 @@
             evidence.ageElsewhere = std::max(evidence.ageElsewhere, scaled(item.second, factor));
         }
     }
-    const std::map<Endpoint, double>::const_iterator others = m_overdueLogProbability.find(agent);
-    if (others != m_overdueLogProbability.end()) {
-        const double own = distributionOf(job).probabilityLonger(ratio(evidence.age, step.expectedRun) / ownFactor);
-        evidence.otherRunsProbability = std::min(std::exp(others->second) / (own < OverdueProbability ? own : 1.0), 1.0);
+    const std::map<Endpoint, std::map<JobId, double>>::const_iterator onServer = m_overdueLogProbability.find(agent);
+    if (onServer != m_overdueLogProbability.end()) {
+        double others = 0;
+        for (const std::pair<const JobId, double> &item : onServer->second) {
+            others += item.first == job.id ? 0.0 : item.second;
+        }
+        evidence.otherRunsProbability = std::exp(others);
     }
     return evidence;
 }
@@ -224,7 +227,9 @@
         if (distribution.known() && age > step.expectedRun) {
             const double probability =
                 distribution.probabilityLonger(ratio(age, step.expectedRun) / agent->health.measuredSlowness(now));
-            m_overdueLogProbability[item.first] += probability < OverdueProbability ? std::log(probability) : 0.0;
+            if (probability < OverdueProbability) {
+                m_overdueLogProbability[item.first][job.id] += std::log(probability);
+            }
         }
         if (elapsedRatio <= agent->health.slowness(now)) {
             continue;
--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -1890,6 +1890,41 @@
     }
 }
 
+TEST_CASE("Late tasks of a run's own job don't count as other late runs on its server")
+{
+    // Guards against subtracting the contribution of this run, by its own age, from a sum that has an older task of the job: the
+    // rest counted as evidence of a slow server, and the later task of a long job was restarted.
+    enum class Older : std::uint8_t {
+        SameStep,
+        OtherStep,
+        OtherJob,
+    };
+    for (const Older older : {Older::SameStep, Older::OtherStep, Older::OtherJob}) {
+        EntryFixture fixture;
+        runJobs(fixture, true);
+        const std::uint64_t restartedBefore = fixture.entry.counters().runsRestarted;
+        std::shared_ptr<dispatch::JobSpec> spec = std::make_shared<dispatch::JobSpec>(*EntryFixture::makeSpec(milliseconds(100)));
+        spec->steps[0].count = older == Older::SameStep ? 2 : 1;
+        if (older == Older::OtherStep) {
+            spec->steps.push_back(spec->steps[0]);
+        }
+        fixture.entry.submit(fixture.now, ClientTag(1000), fixture.queue, Job1, spec, seconds(4));
+        RunEvent second = EntryFixture::makeEvent(RunEvent::Kind::Started);
+        second.run.task.index = older == Older::SameStep ? 1 : 0;
+        second.run.task.step = older == Older::OtherStep ? 1 : 0;
+        if (older == Older::OtherJob) {
+            second.run.task.job = numberedJob(1001);
+            fixture.entry.submit(fixture.now, ClientTag(1001), fixture.queue, numberedJob(1001), spec, seconds(4));
+        }
+        fixture.receiveReport({EntryFixture::makeEvent(RunEvent::Kind::Started)});
+        fixture.runFor(milliseconds(250));
+        fixture.receiveReport({second});
+        fixture.runFor(milliseconds(350));
+        INFO("older task " << static_cast<int>(older));
+        CHECK((fixture.entry.counters().runsRestarted > restartedBefore) == (older == Older::OtherJob));
+    }
+}
+
 TEST_CASE("Runs are moved away from a server that stands still, also in a queue that has long jobs")
 {
     EntryFixture fixture;
