--- a/src/core/dispatch/data_locality.cpp
+++ b/src/core/dispatch/data_locality.cpp
@@ -11,7 +11,8 @@
 
 /// Half-life of the outcomes of waits. A hot key lasts for seconds, and a rack that is avoided must be tried again.
 constexpr double HalfLifeUs = 500000.0;
-/// Weight of the assumption that waits succeed, in outcomes: a few failures among the first ones do not condemn a rack.
+/// Weight of the assumption that waits succeed, in outcomes: a rack is not avoided because of a few failures among the first
+/// ones.
 constexpr double PriorOutcomes = 2.0;
 /// Utilisation from which the capacity that remote runs use is taken from other tasks.
 constexpr double BusyUtilisation = 0.7;
@@ -63,12 +64,12 @@
     // A task whose wait has failed would wait without a limit, so a full fleet does not keep it near its data.
     const bool mayRunElsewhere = remoteInTime && (request.utilisation <= FullUtilisation || secondWait);
     if (!mayRunElsewhere) {
-        // Handing a task back would not help one that can't be in time elsewhere. While most waits fail, it can't be in time near
-        // its data either, unless a server is free.
-        const bool hopeless = near.wait > Duration(0) && failed > MaxFailedShare;
+        // Handing a task back would not help one that can't be in time elsewhere. While most waits fail, it is expected to be
+        // late near its data as well, unless a server is free.
+        const bool expectedLate = near.wait > Duration(0) && failed > MaxFailedShare;
         const bool earlierNear = near.total() <= remote.total();
         const bool full = remoteInTime;
-        return Choice{nearInTime || earlierNear || full, hopeless ? std::max(nearWait, request.timeToObjective) : nearWait,
+        return Choice{nearInTime || earlierNear || full, expectedLate ? std::max(nearWait, request.timeToObjective) : nearWait,
                       Duration(0)};
     }
     if (!nearInTime) {
--- a/src/core/dispatch/data_locality.h
+++ b/src/core/dispatch/data_locality.h
@@ -16,8 +16,8 @@
 /// queue.
 ///
 /// A task waits for no longer than the time that this saves, and is then handed back and placed elsewhere. The share of the waits
-/// at a rack that have ended this way is the probability that the next one does, so that entries turn away from a hot rack before
-/// their tasks have waited.
+/// at a rack that have ended this way is the probability that the next one does, so that entries send tasks elsewhere before
+/// they have waited.
 class DataLocality
 {
 public:
--- a/src/core/dispatch/job.h
+++ b/src/core/dispatch/job.h
@@ -48,8 +48,8 @@
     Duration expectedRun{0};
     std::vector<TaskState> tasks;
     std::uint32_t done = 0;
-    Duration longestRunTime{
-        0}; ///< Of the completed tasks, on a server of ordinary speed; tasks of a step have similar run times.
+    /// Of the completed tasks, on a server of ordinary speed near the data; tasks of a step have similar run times.
+    Duration longestRunTime{0};
     bool runTimesValid = true; ///< False once a run time includes a delay in the server's responses.
 };
 
