Sets of evacuated domains from peers are checked

Cause: decodeEvacuations took revisions and names as they came. A set with a revision above those of the store replaces all later ones in the whole fleet, and names with control characters reach the log.

Change: a set with a revision above INT64_MAX, or with a name that can't be part of a key of the store, is not used; the rest of its message is.

Test: failed before the change (revision 2^63 was accepted) and passes now.

--- a/src/adapters/dispatch_codec.cpp
+++ b/src/adapters/dispatch_codec.cpp
@@ -1,8 +1,10 @@
 #include "adapters/dispatch_codec.h"
 
+#include "core/dispatch/evacuation_state.h"
 #include "proto/dispatch.pb.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace cuminscale::dispatch
 {
@@ -273,12 +275,16 @@
 
 /// Limits what a malformed message can make a process keep.
 constexpr int MaxEvacuatedDomains = 256;
+/// Revisions of the store are signed. A set with a higher one could never be replaced.
+constexpr std::uint64_t MaxStoreRevision = std::numeric_limits<std::int64_t>::max();
 
 Evacuations decodeEvacuations(const wire::Evacuations &from)
 {
     Evacuations evacuations;
     // A set that can't be used as a whole is not used at all.
-    if (from.domains_size() <= MaxEvacuatedDomains) {
+    const bool namesValid = std::all_of(from.domains().begin(), from.domains().end(),
+                                        [](const std::string &name) { return isEvacuationDomain(name); });
+    if (namesValid && from.domains_size() <= MaxEvacuatedDomains && from.revision() <= MaxStoreRevision) {
         evacuations.revision = from.revision();
         evacuations.domains.assign(from.domains().begin(), from.domains().end());
         std::sort(evacuations.domains.begin(), evacuations.domains.end());
--- a/src/core/dispatch/evacuation_state.cpp
+++ b/src/core/dispatch/evacuation_state.cpp
@@ -5,6 +5,13 @@
 namespace cuminscale::dispatch
 {
 
+bool isEvacuationDomain(std::string_view text)
+{
+    constexpr std::size_t MaxBytes = 64;
+    const bool valid = std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c < '\x7f' && c != '/'; });
+    return valid && !text.empty() && text.size() <= MaxBytes;
+}
+
 bool EvacuationState::adopt(const Evacuations &evacuations)
 {
     if (evacuations.revision <= m_valid.revision) {
--- a/src/core/dispatch/evacuation_state.h
+++ b/src/core/dispatch/evacuation_state.h
@@ -3,9 +3,15 @@
 
 #include "core/dispatch/messages.h"
 
+#include <string_view>
+
 namespace cuminscale::dispatch
 {
 
+/// Whether the text can be the name of a failure domain that is evacuated: 1 to 64 bytes of printable ASCII without spaces and
+/// slashes, as it is part of a key of the store and also goes to the log.
+bool isEvacuationDomain(std::string_view text);
+
 /// The valid set of evacuated failure domains of one process.
 ///
 /// Operators evacuate a domain while the other domains carry the full load. The set reaches a process from the store and from
--- a/tests/dispatch_codec_tests.cpp
+++ b/tests/dispatch_codec_tests.cpp
@@ -1,6 +1,7 @@
 #include "adapters/dispatch_codec.h"
 
 #include <catch2/catch.hpp>
+#include <limits>
 #include <random>
 
 using namespace cuminscale;
@@ -180,6 +181,41 @@
     }
 }
 
+TEST_CASE("A set of evacuated domains with an impossible revision or name is rejected, and the rest of its message is used")
+{
+    // A revision that the store never reaches would replace every later set in the whole fleet.
+    constexpr std::uint64_t HighestRevision = std::numeric_limits<std::int64_t>::max();
+    const std::vector<Evacuations> rejected = {
+        {HighestRevision + 1, {"d1"}},
+        {std::numeric_limits<std::uint64_t>::max(), {}},
+        {42, {"", "d1"}},
+        {42, {"d1", std::string(65, 'd')}},
+        {42, {"d 1"}},
+        {42, {"d/1"}},
+        {42, {"d1\n"}},
+        {42, {"d\x7f"}},
+        {42, {"d\xc3\xa9"}},
+        {42, {std::string("d\0", 2)}},
+    };
+    for (const Evacuations &evacuations : rejected) {
+        INFO(evacuations.revision << " " << evacuations.domains.size());
+        Envelope envelope = sampleReport();
+        std::get<AgentReport>(envelope.message).evacuations = evacuations;
+        std::get<AgentReport>(envelope.message).load.evacuated = true;
+        const AgentReport report = std::get<AgentReport>(decode(encode(envelope))->message);
+        REQUIRE(report.evacuations == Evacuations());
+        REQUIRE(report.load.evacuated);
+        EntryReport heartbeat;
+        heartbeat.evacuations = evacuations;
+        envelope.message = heartbeat;
+        REQUIRE(std::get<EntryReport>(decode(encode(envelope))->message).evacuations == Evacuations());
+    }
+    const Evacuations accepted{HighestRevision, {"!", "d-1.a_b~", std::string(64, 'd')}};
+    Envelope envelope = sampleReport();
+    std::get<AgentReport>(envelope.message).evacuations = accepted;
+    REQUIRE(std::get<AgentReport>(decode(encode(envelope))->message).evacuations == accepted);
+}
+
 TEST_CASE("The state that entries and agents share about the fleet is transmitted")
 {
     // A field that is not transmitted would leave its receiver with "unknown", which hides the loss.
