An attempt takes at least the shortest run time in check-config

Cause: of twelve mutations of the new code, four passed the tests. They showed that attempts of a queue without an objective counted as 1 us, a condition without effect, and that the comparison of queues with duplicate names had no test. Change: an attempt counts as at least 1 ms, the condition is removed, and a case covers duplicate names in a comparison. Measured: the 14 cases of config_check_tests and the 4 of check_config_command_tests pass; the tests now detect the three of these mutations that remain possible.

--- a/src/core/dispatch/config_check.cpp
+++ b/src/core/dispatch/config_check.cpp
@@ -89,15 +89,16 @@
     }
     const Duration objective = Duration(static_cast<Duration::rep>(static_cast<double>(ShortestRun.count()) * queue.workFactor))
         + queue.latencyObjective;
+    const Duration attempt = std::max(objective, ShortestRun);
     if (objective > queue.timeout) {
         findings.push_back({FindingSeverity::Warning, queue.name,
                             "the latency objective of the shortest possible job, " + formatValue(objective)
                                 + ", is beyond the timeout of " + formatValue(queue.timeout)});
-    } else if (queue.maxAttempts > 1 && queue.maxAttempts > queue.timeout / std::max(objective, Duration(1))) {
+    } else if (queue.maxAttempts > queue.timeout / attempt) {
         findings.push_back({FindingSeverity::Warning, queue.name,
-                            std::to_string(queue.maxAttempts)
-                                + " attempts that take the latency objective of the shortest possible job, "
-                                + formatValue(objective) + " each, do not fit in the timeout of " + formatValue(queue.timeout)});
+                            std::to_string(queue.maxAttempts) + " attempts of " + formatValue(attempt)
+                                + ", the latency objective of the shortest possible job, do not fit in the timeout of "
+                                + formatValue(queue.timeout)});
     }
 }
 
--- a/tests/config_check_tests.cpp
+++ b/tests/config_check_tests.cpp
@@ -132,14 +132,16 @@
     REQUIRE(check(configOf({queue})).empty());
     queue.maxAttempts = 5;
     REQUIRE(check(configOf({queue}))
-            == Lines{
-                "warning [q] 5 attempts that take the latency objective of the shortest possible job, 375 ms each, do not fit in "
-                "the timeout of 1500 ms"});
+            == Lines{"warning [q] 5 attempts of 375 ms, the latency objective of the shortest possible job, do not fit in the "
+                     "timeout of 1500 ms"});
     queue.maxAttempts = UINT32_MAX;
     REQUIRE(check(configOf({queue})).size() == 1);
+    // Without an objective, an attempt still takes the shortest run time, 1 ms.
     queue.latencyObjective = Duration(0);
-    queue.maxAttempts = 4;
+    queue.maxAttempts = 1500;
     REQUIRE(check(configOf({queue})).empty());
+    queue.maxAttempts = 1501;
+    REQUIRE(check(configOf({queue})).size() == 1);
     queue.timeout = Duration(0);
     queue.maxAttempts = UINT32_MAX;
     REQUIRE(check(configOf({queue})).empty());
@@ -175,6 +177,15 @@
             == Lines{"change [r] removed", "change [s] added"});
 }
 
+// Guards against a list of changes that compares the second of two queues with the first one of the same name.
+TEST_CASE("Of several queues with one name, only the first is compared")
+{
+    const QueueConfig inForce =
+        configOf({queueRule("q", "/a/"), queueRule("q", "/b/"), queueRule("r", "/c/"), queueRule("r", "/d/")}, 7);
+    REQUIRE(lines(compareConfigs(inForce, configOf({queueRule("q", "/a/"), queueRule("q", "/b/")}, 8)))
+            == Lines{"change [r] removed"});
+}
+
 // Guards against a field that the comparison leaves out, or shows in the wrong order.
 TEST_CASE("Each changed field of a queue is listed with its old and new value")
 {
