--- a/tests/entry_dispatch_tests.cpp
+++ b/tests/entry_dispatch_tests.cpp
@@ -2055,6 +2055,28 @@
     }
 }
 
+TEST_CASE("A task that was restarted once is not restarted again before it is later than it was")
+{
+    // Guards against comparing the age of the stopped run as near the data with the age of the next one as measured: where tasks
+    // take three times as long, the next run was stopped at the same age.
+    RemoteRunFixture fixture(false);
+    const std::uint64_t restartedBefore = fixture.remoteEntry.counters().runsRestarted;
+    fixture.submitTasks(1000, Job1, "r3", 1);
+    const std::vector<StartOrder> orders = fixture.links.messagesTo<StartOrder>(Agent.endpoint);
+    const bool atFirst = !orders.empty() && orders.back().job == Job1;
+    const ProcessId first = atFirst ? Agent : RackFixture::OtherAgent;
+    const ProcessId next = atFirst ? RackFixture::OtherAgent : Agent;
+    fixture.startLatest(first);
+    fixture.advance(milliseconds(1700));
+    REQUIRE(fixture.remoteEntry.counters().runsRestarted == restartedBefore + 1);
+    RunEvent stopped = eventOf(Job1, RunEvent::Kind::Ended, milliseconds(1700));
+    stopped.end = RunEnd::Stopped;
+    fixture.reportFrom(first, {stopped});
+    fixture.startLatest(next);
+    fixture.advance(milliseconds(1700));
+    REQUIRE(fixture.remoteEntry.counters().runsRestarted == restartedBefore + 1);
+}
+
 TEST_CASE("Orders carry the run time on an ordinary server, and an entry that has just started uses the reported speed")
 {
     EntryFixture fixture;
