--- a/src/core/dispatch/agent_dispatch.h
+++ b/src/core/dispatch/agent_dispatch.h
@@ -423,6 +423,7 @@
     bool m_lastPollUnanswered = false; ///< The latest completed poll failed or timed out.
     TimePoint m_pollFailedAt; ///< When a poll last failed; the ends of runs that were active then may be noticed late.
     TimePoint m_nextPollAt; ///< Zero if no poll is scheduled.
+    TimePoint m_nextServerCheckAt; ///< See checkForServer().
     std::uint64_t m_endsSeen = 0; ///< Highest number of a processed finished run; the next poll acknowledges it.
     bool m_endsUnacknowledged = false; ///< The latest inventory has new finished runs that no poll has acknowledged.
     std::size_t m_startsInFlight = 0;
--- a/src/core/dispatch/agent_server.cpp
+++ b/src/core/dispatch/agent_server.cpp
@@ -478,10 +478,10 @@
 void AgentDispatch::checkForServer(TimePoint now)
 {
     const bool starting = now - m_startedAt < m_settings.timing.startReportPeriod;
-    if (m_examined || m_pollInFlight || !starting || now < m_nextPollAt) {
+    if (m_examined || m_pollInFlight || !starting || now < m_nextServerCheckAt) {
         return;
     }
-    m_nextPollAt = now + m_settings.timing.probeInterval;
+    m_nextServerCheckAt = now + m_settings.timing.probeInterval;
     m_pollInFlight = true;
     PollRequest poll;
     poll.token = m_token;
--- a/tests/dispatch_simulation.cpp
+++ b/tests/dispatch_simulation.cpp
@@ -870,6 +870,15 @@
 
 void DispatchSimulation::Impl::Process::poll(std::uint64_t number, const PollRequest &order)
 {
+    // Before the first announcement, the agent only learns whether the address refuses connections. Without random draws, such a
+    // poll does not change the faults that a seed stands for.
+    if (order.server.id.empty()) {
+        const PollFailure failure = simulation.m_servers[index]->refusesConnections ? PollFailure::Refused : PollFailure::Unknown;
+        simulation.scheduleAfter(milliseconds(1), inThisIncarnation([this, number, failure]() {
+                                     agent->onPollAnswered(simulation.m_now, number, std::nullopt, failure);
+                                 }));
+        return;
+    }
     const std::uint64_t callerGeneration = generation;
     callServer(
         [this, number, order, callerGeneration](Server &server, std::uint64_t call) -> Action {
--- a/tests/dispatch_tests.cpp
+++ b/tests/dispatch_tests.cpp
@@ -554,8 +554,9 @@
 
 TEST_CASE("Jobs that arrive before the entries of a restarted fleet may admit jobs are held and served")
 {
-    // Scenario: a power loss ends all entries at once, and the store does not answer. For 1.1 s to 2 s after their start they can't
-    // admit jobs, and would answer 504 to each. Here clients submit again after 1.3 s, when only long jobs can still be in time.
+    // Scenario: a power loss ends all entries at once, and the store does not answer. For 1.1 s to 2 s after their start they
+    // can't admit jobs, and would answer 504 to each. Here clients submit again after 1.3 s, when only long jobs can still be in
+    // time.
     std::uint64_t submitted = 0;
     std::uint64_t inTime[2] = {};
     for (const bool holds : {false, true}) {
