--- a/review/harness2.py
+++ b/review/harness2.py
@@ -211,6 +211,7 @@
         self.agents = ["127.0.2.%d" % n for n in range(1, agents + 1)]
         self.peer, self.metrics, self.clients, self.ready, self.control, self.app = free_ports(6)
         self.store = Store()
+        self.zone = lambda ip: "cairo-a"
         self.advertise = {}  # Address under which the others reach a process, if not its own.
         self.configure(1)
         self.fleet = Fleet(record, {"service": SERVICE, "app": self.app, "cpu": cpu, "heartbeat_s": 1.5, "executors": [
@@ -228,7 +229,7 @@
     def settings(self, ip):
         entry = ip in self.entries
         hosts = [self.advertise.get(e, "%s:%d" % (e, self.peer)) for e in self.entries[:3]]
-        settings = {"role": "job-entry" if entry else "job-agent", "node": "node-" + ip, "failure_domain": "cairo-a",
+        settings = {"role": "job-entry" if entry else "job-agent", "node": "node-" + ip, "failure_domain": self.zone(ip),
                     "peer": {"listen": "%s:%d" % (ip, self.peer), "entry_hosts": hosts},
                     "metrics": {"listen": "%s:%d" % (ip, self.metrics)}, "store": {"address": self.store.address}}
         if ip in self.advertise:
--- a/review/link2.py
+++ b/review/link2.py
@@ -1,6 +1,7 @@
 """A TCP link on loopback that can be cut, as behind a partition: bytes sent meanwhile are held up and arrive after it."""
 
 import asyncio
+import socket
 import threading
 
 ROUND_TRIP_S = 0.002  # 1 ms one way between clients and the system
@@ -59,3 +60,55 @@
         except OSError:
             writer.transport.abort()
             back.transport.abort()
+
+
+class Mesh:
+    """Links between the processes of a deployment. Each process is reached by the others through a link, and a partition between two
+    groups of processes can be made: bytes between them are held up, new connections wait."""
+
+    def __init__(self, deployment):
+        self.deployment, self.sides, self.loop = deployment, [], asyncio.new_event_loop()
+        threading.Thread(target=self.loop.run_forever, daemon=True).start()
+        for ip in deployment.entries + deployment.agents:
+            host = ip.replace("127.0.1.", "127.0.5.").replace("127.0.2.", "127.0.6.")
+            deployment.advertise[ip] = "%s:%d" % (host, deployment.peer)
+            asyncio.run_coroutine_threadsafe(self.listen(host, ip), self.loop).result(5)
+
+    async def listen(self, host, ip):
+        await asyncio.start_server(lambda reader, writer: self.accept(reader, writer, ip), host, self.deployment.peer)
+
+    def partition(self, side):
+        """Cuts the processes of `side` off from all others; an empty list heals."""
+        self.sides = side
+
+    async def passes(self, ends):
+        while ends[0] is not None and (ends[0] in self.sides) != (ends[1] in self.sides):
+            await asyncio.sleep(0.005)
+
+    async def accept(self, reader, writer, ip):
+        try:
+            back_reader, back_writer = await asyncio.open_connection(ip, self.deployment.peer)
+        except OSError:
+            writer.transport.abort()
+            return
+        ends = [None, ip]
+        await asyncio.gather(self.forward(reader, back_writer, ends, True), self.forward(back_reader, writer, ends, False))
+
+    async def forward(self, reader, writer, ends, names_sender):
+        try:
+            while data := await reader.read(65536):
+                if names_sender and ends[0] is None:
+                    ends[0] = self.sender_of(data)
+                await self.passes(ends)
+                writer.write(data)
+                await writer.drain()
+            await self.passes(ends)
+            writer.close()
+        except OSError:
+            writer.transport.abort()
+
+    def sender_of(self, data):
+        """The process whose address stands first in the data: each message between processes begins with the address of its sender."""
+        found = {ip: data.find(b"\x0d" + socket.inet_aton(host.split(":")[0])[::-1]) for ip, host in self.deployment.advertise.items()}
+        found = {ip: at for ip, at in found.items() if at >= 0}
+        return min(found, key=found.get) if found else None
