--- a/review/executors2.py
+++ b/review/executors2.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import os
 import sys
 import time
 
@@ -145,6 +146,7 @@
     reader = asyncio.StreamReader()
     await asyncio.get_running_loop().connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
     await reader.read()  # ends with the process that started it
+    os._exit(0)
 
 
 asyncio.run(main(json.loads(sys.argv[1])))
--- a/review/link2.py
+++ b/review/link2.py
@@ -67,7 +67,7 @@
     groups of processes can be made: bytes between them are held up, new connections wait."""
 
     def __init__(self, deployment):
-        self.deployment, self.sides, self.loop = deployment, [], asyncio.new_event_loop()
+        self.deployment, self.one, self.other, self.loop = deployment, (), (), asyncio.new_event_loop()
         threading.Thread(target=self.loop.run_forever, daemon=True).start()
         for ip in deployment.entries + deployment.agents:
             host = ip.replace("127.0.1.", "127.0.5.").replace("127.0.2.", "127.0.6.")
@@ -77,12 +77,13 @@
     async def listen(self, host, ip):
         await asyncio.start_server(lambda reader, writer: self.accept(reader, writer, ip), host, self.deployment.peer)
 
-    def partition(self, side):
-        """Cuts the processes of `side` off from all others; an empty list heals."""
-        self.sides = side
+    def partition(self, one, other=None):
+        """Cuts the processes of `one` off from those of `other`, by default from all others; an empty list heals."""
+        everybody = self.deployment.entries + self.deployment.agents
+        self.one, self.other = one, [ip for ip in everybody if ip not in one] if other is None else other
 
     async def passes(self, ends):
-        while ends[0] is not None and (ends[0] in self.sides) != (ends[1] in self.sides):
+        while (ends[0] in self.one and ends[1] in self.other) or (ends[0] in self.other and ends[1] in self.one):
             await asyncio.sleep(0.005)
 
     async def accept(self, reader, writer, ip):
