--- a/review/harness2.py
+++ b/review/harness2.py
@@ -205,6 +205,7 @@
 
     def __init__(self, record, entries=3, agents=5, service=SERVICE, cpu=16000):
         self.record, self.children = record, {}
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # ends what was started
         self.directory = tempfile.TemporaryDirectory()
         self.roles = tomllib.load(open(os.path.join(ROOT, "deploy", "system.toml"), "rb"))["roles"]
         self.entries = ["127.0.1.%d" % n for n in range(1, entries + 1)]
@@ -212,6 +213,7 @@
         self.peer, self.metrics, self.clients, self.ready, self.control, self.app = free_ports(6)
         self.store = Store()
         self.zone = lambda ip: "cairo-a"
+        self.evacuation = False  # Whether the site has the bound evacuate_ms.
         self.advertise = {}  # Address under which the others reach a process, if not its own.
         self.configure(1)
         self.fleet = Fleet(record, {"service": SERVICE, "app": self.app, "cpu": cpu, "heartbeat_s": 1.5, "executors": [
@@ -232,6 +234,8 @@
         settings = {"role": "job-entry" if entry else "job-agent", "node": "node-" + ip, "failure_domain": self.zone(ip),
                     "peer": {"listen": "%s:%d" % (ip, self.peer), "entry_hosts": hosts},
                     "metrics": {"listen": "%s:%d" % (ip, self.metrics)}, "store": {"address": self.store.address}}
+        if self.evacuation:
+            settings["evacuation"] = {"follow": True}
         if ip in self.advertise:
             settings["peer"]["advertise"] = self.advertise[ip]
         if entry:
