--- a/review/standins-3/platform3.py
+++ b/review/standins-3/platform3.py
@@ -580,6 +580,7 @@
         async with asyncio.timeout(110):
             return await case(os.environ.get("TROUBLE", "1") != "0")
 
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # Lets the case end the processes that it has started.
     try:
         broken, text, world = asyncio.run(guarded())
     except Exception as e:  # The case could not run.
