--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 # compiles them, which finds an unsuitable interpreter before a case is run.
 cd "$(dirname "$0")" || exit 1
 python3 -c 'import sys; sys.exit(sys.version_info < (3, 11))' || { echo "Python 3.11 or later is required" >&2; exit 1; }
-python3 -m py_compile standins-3/platform3.py 1[1-5]/case.py
+python3 -m py_compile harness3.py 1[1-5]/case.py
--- a/review/standins-3/platform3.py
+++ b/review/harness3.py
@@ -18,7 +18,7 @@
 import tomllib
 import urllib.parse
 
-REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+REPOSITORY = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 ZONES = ["zone-a", "zone-b", "zone-c"]
 HEARTBEAT_S = 1.5
 BOUNDS = {"contact_ms": 3000, "ack_timeout_ms": 4000, "drain_ms": 2000, "grace_s": 6, "config_apply_ms": 2000, "downgrade_ms": 250,
